--- /dev/null
+++ b/cmd/parsleybarrow/main.go
@@ -0,0 +1,4 @@
+// Command parsleybarrow is the daemon and the command line of the scheduler.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/sched/code_test.go
@@ -0,0 +1,21 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a code whose number contradicts its outcome, which would
+// make a caller treat a request that may have run as not run.
+func TestCodesMatchTheirOutcome(t *testing.T) {
+	i := is.New(t)
+	last := Code(0)
+	for _, e := range Codes() {
+		i.True(e.Code > last) // the table is in numeric order without repeats
+		i.True(e.Code.Outcome() >= OutcomeAnswered)
+		last = e.Code
+	}
+	i.Equal(CodeUnknownInProgress.Outcome(), OutcomeUnknown)
+	i.Equal(CodeDraining.Outcome(), OutcomeRefusedNotRun)
+}
--- /dev/null
+++ b/pkg/sched/resources.go
@@ -0,0 +1,25 @@
+package sched
+
+// Resources is an amount of processors, memory and accelerators.
+type Resources struct {
+	// Processors is in thousandths of a processor.
+	Processors int64
+	// Memory is in bytes.
+	Memory       int64
+	Accelerators int64
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.Processors + o.Processors, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference, which may be negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.Processors - o.Processors, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
+}
+
+// Fits tells whether r is at most o in every resource.
+func (r Resources) Fits(o Resources) bool {
+	return r.Processors <= o.Processors && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
+}
