Add config, versn, member, rendez and quota

Change: config loads, checks and merges the operators' folder, and diffs and patches documents. versn replays the config stream, with codec.EncodeConfig and DecodeConfig. member keeps the membership, an immutable view and the contacts of each second. rendez hashes responsibilities. quota splits team quotas by the demand in heartbeats. sched.Heartbeat gets Areas, the demand of whole data centres, since an instance doesn't hear every instance outside its own data centre; peer.proto has the field, and whoever maps heartbeats by hand has to map it.

--- /dev/null
+++ b/pkg/codec/config.go
@@ -0,0 +1,81 @@
+package codec
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
+	"github.com/parsleybarrow/parsleybarrow/pkg/config"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/versn"
+)
+
+// maxConfigRecord bounds a record of the stream "config".
+const maxConfigRecord = config.MaxDocumentBytes + 64<<10
+
+var errEmptyRecord = errors.New("the record is neither a patch nor a snapshot")
+
+// EncodeConfig returns the record of an entry.
+func EncodeConfig(e versn.Entry) ([]byte, error) {
+	r := &pb.ConfigRecord{}
+	switch {
+	case e.Patch != nil:
+		r.Record = &pb.ConfigRecord_Patch{Patch: &pb.ConfigPatch{
+			Id:       e.Patch.ID,
+			Base:     int64(e.Patch.Base),
+			Changes:  e.Patch.Changes,
+			Hash:     e.Patch.Hash[:],
+			Operator: e.Patch.Operator,
+		}}
+	case e.Snapshot != nil:
+		r.Record = &pb.ConfigRecord_Snapshot{Snapshot: &pb.ConfigSnapshot{
+			Version:   int64(e.Snapshot.Version),
+			Document:  e.Snapshot.Document,
+			ReadTo:    int64(e.Snapshot.ReadTo),
+			Writer:    string(e.Snapshot.Writer),
+			WrittenAt: e.Snapshot.WrittenAt.UnixNano(),
+		}}
+	default:
+		return nil, errEmptyRecord
+	}
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode config record: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeConfig reads a record. A record that it can't read is a no-op for
+// every instance.
+func DecodeConfig(data []byte) (versn.Entry, error) {
+	if len(data) > maxConfigRecord {
+		return versn.Entry{}, fmt.Errorf("config record: %d bytes, more than %d", len(data), maxConfigRecord)
+	}
+	r := &pb.ConfigRecord{}
+	if err := proto.Unmarshal(data, r); err != nil {
+		return versn.Entry{}, fmt.Errorf("config record: %w", err)
+	}
+	if p := r.GetPatch(); p != nil {
+		e := versn.Patch{
+			ID: p.Id, Base: sched.Offset(p.Base), Changes: p.Changes, Operator: p.Operator,
+		}
+		if len(p.Hash) != len(e.Hash) {
+			return versn.Entry{}, fmt.Errorf("config record: the hash has %d bytes, expected %d", len(p.Hash), len(e.Hash))
+		}
+		copy(e.Hash[:], p.Hash)
+		return versn.Entry{Patch: &e}, nil
+	}
+	if s := r.GetSnapshot(); s != nil {
+		return versn.Entry{Snapshot: &versn.Snapshot{
+			Version:   sched.Offset(s.Version),
+			Document:  s.Document,
+			ReadTo:    sched.Offset(s.ReadTo),
+			Writer:    sched.InstanceID(s.Writer),
+			WrittenAt: time.Unix(0, s.WrittenAt),
+		}}, nil
+	}
+	return versn.Entry{}, fmt.Errorf("config record: %w", errEmptyRecord)
+}
--- /dev/null
+++ b/pkg/member/table_test.go
@@ -0,0 +1,127 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/member"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id sched.InstanceID, d sched.DataCentre) sched.Member {
+	return sched.Member{ID: id, Incarnation: 1, Role: sched.RoleEntry, State: sched.StateLive, DataCentre: d, Address: "127.0.0.1:1"}
+}
+
+func backend(n sched.Incarnation, s sched.State) sched.Member {
+	return sched.Member{ID: "b", Incarnation: n, Role: sched.RoleBackend, State: s, DataCentre: "a", Service: "simdesk"}
+}
+
+func beat(id sched.InstanceID) sched.Heartbeat {
+	return sched.Heartbeat{From: id, Incarnation: 1, DataCentre: "a", Address: "127.0.0.1:1", State: sched.StateLive}
+}
+
+func newTable() *member.Table {
+	return member.New(epoch, member.Options{Self: entry("self", "a")})
+}
+
+func state(t *member.Table, id sched.InstanceID) sched.State {
+	m, _ := t.View().Find(id)
+	return m.State
+}
+
+// Guards against a leaving instance that gets work again from a list that is
+// late or from its own heartbeat, and against a restart that stays leaving.
+func TestLeavingIsFinalForTheIncarnation(t *testing.T) {
+	i := is.New(t)
+	m := newTable()
+	m.List(epoch, []sched.Member{backend(1, sched.StateLive)})
+	m.Leaving(epoch, "b", 1)
+	i.Equal(state(m, "b"), sched.StateLeaving) // at once
+	m.List(epoch.Add(time.Second), []sched.Member{backend(1, sched.StateLive)})
+	m.Heard(epoch.Add(time.Second), "b", 1)
+	i.Equal(state(m, "b"), sched.StateLeaving)
+	m.List(epoch.Add(2*time.Second), []sched.Member{backend(2, sched.StateLive)})
+	i.Equal(state(m, "b"), sched.StateLive)
+	m.Leaving(epoch.Add(2*time.Second), "b", 1) // late news of the old one
+	m.List(epoch.Add(3*time.Second), []sched.Member{backend(1, sched.StateLeaving)})
+	i.Equal(state(m, "b"), sched.StateLive)
+}
+
+// Guards against silence that is taken for death: only the list makes an
+// instance gone, and only if it is silent too.
+func TestSilenceMakesUnreachableNotGone(t *testing.T) {
+	i := is.New(t)
+	m := newTable()
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	m.List(at(0), []sched.Member{entry("p", "a"), entry("far", "b")})
+	m.Heartbeat(at(0), beat("p"))
+	m.Tick(at(60)) // the list is unavailable
+	i.Equal(state(m, "p"), sched.StateUnreachable)
+	i.Equal(state(m, "far"), sched.StateLive) // nothing was expected of it
+	m.Heartbeat(at(61), beat("p"))
+	m.List(at(61), nil) // late list, but p is heard
+	i.Equal(state(m, "p"), sched.StateLive)
+	m.List(at(90), nil)
+	i.Equal(state(m, "p"), sched.StateGone)
+	i.Equal(state(m, "far"), sched.StateGone)
+}
+
+// Guards against responsibilities that move with every lost heartbeat.
+func TestCandidatesFollowWithHysteresis(t *testing.T) {
+	i := is.New(t)
+	m := newTable()
+	m.Heartbeat(epoch, beat("p"))
+	i.Equal(len(m.View().Candidates("a")), 2)
+	now := epoch
+	changes, last := 0, 2
+	step := func(heard bool) {
+		now = now.Add(time.Second)
+		if heard {
+			m.Heartbeat(now, beat("p"))
+		}
+		m.Tick(now)
+		if n := len(m.View().Candidates("a")); n != last {
+			changes, last = changes+1, n
+		}
+	}
+	for k := range 600 {
+		step(k%2 == 0)
+	}
+	i.Equal(changes, 0) // comes and goes every second
+	for k := range 600 {
+		step(k%12 < 6) // 6 s each way is longer than the silence, but not steady
+	}
+	i.True(changes <= 2)
+	for range 20 {
+		step(false)
+	}
+	i.Equal(last, 1)
+}
+
+// Guards against a pair in a data centre that doesn't exchange, or exchanges
+// twice.
+func TestOneSideOfEachPairCalls(t *testing.T) {
+	i := is.New(t)
+	ids := []sched.InstanceID{"p1", "p2", "p3", "p4", "p5"}
+	calls := map[[2]sched.InstanceID]int{}
+	for _, self := range ids {
+		m := member.New(epoch, member.Options{Self: entry(self, "a")})
+		for _, p := range ids {
+			if p != self {
+				m.Heartbeat(epoch, beat(p))
+			}
+		}
+		for _, c := range m.Contacts(epoch.Add(time.Second)) {
+			calls[[2]sched.InstanceID{min(self, c.ID), max(self, c.ID)}]++
+		}
+		i.Equal(len(m.Contacts(epoch.Add(2*time.Second))), 4) // silent peers are all called
+	}
+	i.Equal(len(calls), 10)
+	for _, n := range calls {
+		i.Equal(n, 1)
+	}
+}
--- /dev/null
+++ b/pkg/quota/gate.go
@@ -0,0 +1,103 @@
+package quota
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Part is this instance's part of a team's quota in requests per second.
+type Part struct {
+	Team string
+	Rate float64
+	// Unlimited is set for teams without a quota.
+	Unlimited bool
+}
+
+// Count is the number of requests of a team since the gate was made.
+type Count struct {
+	Team     string
+	Offered  int64
+	Admitted int64
+}
+
+type bucket struct {
+	limiter   *rate.Limiter
+	unlimited atomic.Bool
+	offered   atomic.Int64
+	admitted  atomic.Int64
+}
+
+// Gate admits requests by team. It is safe for concurrent use.
+type Gate struct {
+	buckets atomic.Pointer[map[string]*bucket]
+}
+
+// NewGate returns a gate that knows no team and admits nothing.
+func NewGate() *Gate {
+	g := &Gate{}
+	g.buckets.Store(&map[string]*bucket{})
+	return g
+}
+
+// burst is what a team may send at once after a pause: one second's worth, at
+// least one request.
+func burst(r float64) int { return max(1, int(math.Ceil(r))) }
+
+// Set takes the parts of all teams. It must not run concurrently with itself.
+func (g *Gate) Set(now time.Time, parts []Part) {
+	old := *g.buckets.Load()
+	next := make(map[string]*bucket, len(parts))
+	for _, p := range parts {
+		b := old[p.Team]
+		if b == nil {
+			b = &bucket{limiter: rate.NewLimiter(rate.Limit(p.Rate), burst(p.Rate))}
+		}
+		b.unlimited.Store(p.Unlimited)
+		if b.limiter.Limit() != rate.Limit(p.Rate) {
+			b.limiter.SetLimitAt(now, rate.Limit(p.Rate))
+			b.limiter.SetBurstAt(now, burst(p.Rate))
+		}
+		next[p.Team] = b
+	}
+	g.buckets.Store(&next)
+}
+
+// Allow counts a request of the team and tells whether its quota admits it.
+// An unknown team is not admitted.
+func (g *Gate) Allow(now time.Time, team string) bool {
+	b := (*g.buckets.Load())[team]
+	if b == nil {
+		return false
+	}
+	b.offered.Add(1)
+	if !b.unlimited.Load() && !b.limiter.AllowN(now, 1) {
+		return false
+	}
+	b.admitted.Add(1)
+	return true
+}
+
+// Counts returns the running totals of all teams, in no order.
+func (g *Gate) Counts() []Count {
+	all := *g.buckets.Load()
+	counts := make([]Count, 0, len(all))
+	for team, b := range all {
+		counts = append(counts, Count{team, b.offered.Load(), b.admitted.Load()})
+	}
+	return counts
+}
+
+// Teams returns the parts of teams before anything is known: an even split of
+// each quota over n instances.
+func Teams(teams []sched.TeamSettings, n int) []Part {
+	parts := make([]Part, 0, len(teams))
+	for _, t := range teams {
+		parts = append(parts, Part{t.Name, t.Requests / float64(max(n, 1)), t.Requests == 0})
+	}
+	return parts
+}
--- /dev/null
+++ b/pkg/quota/news.go
@@ -0,0 +1,260 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+const (
+	// peerItems and areaItems bound the teams per heartbeat, inside the data
+	// centre (one a second to each peer) and outside (one a second in all). An
+	// item takes about 20 bytes; both bounds together stay below 3 KB/s with 8
+	// peers.
+	peerItems = 8
+	areaItems = 24
+	// A change is told if it is over changePart of the value told before and
+	// over quotaPart of an even part of the quota. Smaller ones change nobody's
+	// part noticeably.
+	changePart = 0.2
+	quotaPart  = 0.05
+	// repeatAfter is the age at which a value is told again, for the peers that
+	// missed it because an answer was lost.
+	repeatAfter = 60 * time.Second
+	// headerEvery is the time after which a data centre that is heard without
+	// changes is mentioned to a peer again. It is well below areaFresh.
+	headerEvery = 5 * time.Second
+)
+
+// item is the demand of a team at this instance (no data centre) or in another
+// data centre.
+type item struct {
+	centre sched.DataCentre
+	team   string
+}
+
+type told struct {
+	number uint64
+	at     time.Time
+}
+
+// progress is how far a receiver has been told, now and before the newest
+// heartbeat to it.
+type progress struct {
+	upTo    uint64
+	before  uint64
+	headers map[sched.DataCentre]time.Time
+}
+
+// news numbers the changes, so that each receiver gets those after the last
+// one that it was told.
+type news struct {
+	last  uint64
+	items map[item]told
+	// sums holds the changes of the demand of the own data centre, for
+	// receivers outside, and sumSaid the values told.
+	sums    map[string]told
+	sumSaid demand
+	touched map[sched.DataCentre]time.Time
+	// peers holds the progress of the peers in the data centre; outside, it is
+	// enough that anyone in a data centre has been told.
+	peers map[sched.InstanceID]*progress
+	areas map[sched.DataCentre]*progress
+}
+
+func newNews() news {
+	return news{
+		items: map[item]told{}, sums: map[string]told{}, sumSaid: demand{},
+		touched: map[sched.DataCentre]time.Time{},
+		peers:   map[sched.InstanceID]*progress{}, areas: map[sched.DataCentre]*progress{},
+	}
+}
+
+func (n *news) next(now time.Time) told {
+	n.last++
+	return told{n.last, now}
+}
+
+func (n *news) area(now time.Time, d sched.DataCentre, team string) {
+	n.items[item{d, team}] = n.next(now)
+}
+
+func (n *news) touch(now time.Time, d sched.DataCentre) { n.touched[d] = now }
+
+func (n *news) forget(p sched.InstanceID) { delete(n.peers, p) }
+
+func (n *news) failed(p sched.InstanceID, d sched.DataCentre) {
+	for _, q := range []*progress{n.peers[p], n.areas[d]} {
+		if q != nil {
+			q.upTo = q.before
+			q.headers = nil
+		}
+	}
+}
+
+func (n *news) keep(quotas map[string]float64) {
+	for i := range n.items {
+		if _, ok := quotas[i.team]; !ok {
+			delete(n.items, i)
+		}
+	}
+	for team := range n.sums {
+		if _, ok := quotas[team]; !ok {
+			delete(n.sums, team)
+			delete(n.sumSaid, team)
+		}
+	}
+}
+
+func (n *news) peer(p sched.InstanceID) *progress {
+	q := n.peers[p]
+	if q == nil {
+		q = &progress{}
+		n.peers[p] = q
+	}
+	return q
+}
+
+// changed tells whether a value is worth telling.
+func changed(said, is, evenPart float64) bool {
+	return math.Abs(is-said) > max(changePart*said, quotaPart*evenPart)
+}
+
+// announce finds the own demand and the demand of the data centre that are
+// worth telling.
+func (b *Book) announce(now time.Time) {
+	instances := 1
+	for _, p := range b.peers {
+		if now.Sub(p.heardAt) <= peerFresh {
+			instances++
+		}
+	}
+	centres := len(b.areas) + 1
+	for _, t := range b.teams {
+		if t.Requests == 0 {
+			continue
+		}
+		is := b.own[t.Name]
+		old, known := b.news.items[item{"", t.Name}]
+		if changed(b.said[t.Name], is, t.Requests/float64(instances*centres)) ||
+			known && now.Sub(old.at) > repeatAfter {
+			b.said[t.Name] = is
+			b.news.items[item{"", t.Name}] = b.news.next(now)
+		}
+		sum := b.said[t.Name]
+		for _, p := range b.peers {
+			if now.Sub(p.heardAt) <= peerFresh {
+				sum += p.demand[t.Name]
+			}
+		}
+		old, known = b.news.sums[t.Name]
+		if changed(b.news.sumSaid[t.Name], sum, t.Requests/float64(centres)) ||
+			known && now.Sub(old.at) > repeatAfter {
+			b.news.sumSaid[t.Name] = sum
+			b.news.sums[t.Name] = b.news.next(now)
+		}
+	}
+}
+
+// numberedItem is a change that a receiver has not been told.
+type numberedItem struct {
+	item
+	number uint64
+}
+
+// after returns up to limit changes after the progress, oldest first, and
+// moves the progress on.
+func after(all []numberedItem, q *progress, limit int) []item {
+	slices.SortFunc(all, func(a, b numberedItem) int { return cmp.Compare(a.number, b.number) })
+	q.before = q.upTo
+	var out []item
+	for _, i := range all[:min(limit, len(all))] {
+		out = append(out, i.item)
+		q.upTo = i.number
+	}
+	return out
+}
+
+// peerNews returns what a peer in the data centre has not been told.
+func (b *Book) peerNews(now time.Time, to sched.InstanceID) ([]sched.TeamDemand, []sched.AreaDemand) {
+	q := b.news.peer(to)
+	var all []numberedItem
+	for i, t := range b.news.items {
+		if t.number > q.upTo {
+			all = append(all, numberedItem{i, t.number})
+		}
+	}
+	var own []sched.TeamDemand
+	var areas []sched.AreaDemand
+	for _, i := range after(all, q, peerItems) {
+		if i.centre == "" {
+			own = append(own, sched.TeamDemand{Team: i.team, Offered: b.said[i.team], Admitted: b.admitted[i.team]})
+			continue
+		}
+		areas = b.relay(areas, i)
+	}
+	return own, b.headers(now, q, areas)
+}
+
+// relay adds an item to the entry of its data centre and time.
+func (b *Book) relay(areas []sched.AreaDemand, i item) []sched.AreaDemand {
+	a := b.areas[i.centre]
+	v := a.demand[i.team]
+	d := sched.TeamDemand{Team: i.team, Offered: v.rate}
+	for k := range areas {
+		if areas[k].DataCentre == i.centre && areas[k].AsOf.Equal(v.asOf) {
+			areas[k].Demand = append(areas[k].Demand, d)
+			return areas
+		}
+	}
+	return append(areas, sched.AreaDemand{
+		DataCentre: i.centre, Instances: a.instances, AsOf: v.asOf, Demand: []sched.TeamDemand{d},
+	})
+}
+
+// headers mentions the data centres that were heard directly, also without
+// changes: hearing of them keeps their part of the quotas apart.
+func (b *Book) headers(now time.Time, q *progress, areas []sched.AreaDemand) []sched.AreaDemand {
+	if q.headers == nil {
+		q.headers = map[sched.DataCentre]time.Time{}
+	}
+	for d, at := range b.news.touched {
+		if now.Sub(at) > headerEvery || now.Sub(q.headers[d]) < headerEvery {
+			continue
+		}
+		q.headers[d] = now
+		a := b.areas[d]
+		areas = append(areas, sched.AreaDemand{DataCentre: d, Instances: a.instances, AsOf: a.asOf})
+	}
+	slices.SortStableFunc(areas, func(x, y sched.AreaDemand) int { return cmp.Compare(x.DataCentre, y.DataCentre) })
+	return areas
+}
+
+// areaNews returns the demand of the own data centre that nobody in the
+// receiver's data centre has been told by this instance.
+func (b *Book) areaNews(now time.Time, d sched.DataCentre) []sched.AreaDemand {
+	q := b.news.areas[d]
+	if q == nil {
+		q = &progress{}
+		b.news.areas[d] = q
+	}
+	var all []numberedItem
+	for team, t := range b.news.sums {
+		if t.number > q.upTo {
+			all = append(all, numberedItem{item{"", team}, t.number})
+		}
+	}
+	own := sched.AreaDemand{DataCentre: b.options.DataCentre, Instances: 1, AsOf: now}
+	for _, p := range b.peers {
+		if now.Sub(p.heardAt) <= peerFresh {
+			own.Instances++
+		}
+	}
+	for _, i := range after(all, q, areaItems) {
+		own.Demand = append(own.Demand, sched.TeamDemand{Team: i.team, Offered: b.news.sumSaid[i.team]})
+	}
+	return []sched.AreaDemand{own}
+}
--- a/pkg/sched/peer.go
+++ b/pkg/sched/peer.go
@@ -13,6 +13,18 @@
 	Admitted float64
 }
 
+// AreaDemand is the demand of all entry instances of one data centre together,
+// as passed on by any instance.
+type AreaDemand struct {
+	DataCentre DataCentre
+	// Instances is the number of entry instances that the demand covers.
+	Instances int
+	// AsOf is the time at which an instance of that data centre summed it up.
+	AsOf time.Time
+	// Demand holds the teams whose demand changed; it doesn't list the others.
+	Demand []TeamDemand
+}
+
 // PartnerTotal is the number of requests that an incarnation answered for a
 // partner since its start.
 type PartnerTotal struct {
@@ -40,8 +52,10 @@
 	TermSeen Offset
 	// LogReached is the time of the sender's last successful read of the log.
 	LogReached time.Time
-	Demand     []TeamDemand
-	Totals     []PartnerTotal
+	// Demand holds the teams whose demand at the sender changed.
+	Demand []TeamDemand
+	Areas  []AreaDemand
+	Totals []PartnerTotal
 }
 
 // ConfigCopy is a configuration version with its full text, as passed between
--- /dev/null
+++ b/pkg/versn/replay_test.go
@@ -0,0 +1,184 @@
+package versn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/config"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/versn"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// stream is a log of records that can be trimmed.
+type stream struct {
+	records  []sched.Record
+	earliest sched.Offset
+}
+
+func (s *stream) append(e versn.Entry) sched.Offset {
+	data, err := codec.EncodeConfig(e)
+	if err != nil {
+		panic(err)
+	}
+	o := sched.Offset(len(s.records) + 1)
+	s.records = append(s.records, sched.Record{Offset: o, Data: data})
+	return o
+}
+
+func (s *stream) first() sched.Offset { return max(s.earliest, 1) }
+
+// read brings a replay to the end of the stream.
+func (s *stream) read(now time.Time, r *versn.Replay) {
+	for range 10_000 {
+		from := r.Next()
+		if from < s.first() {
+			r.Trimmed(s.first())
+			continue
+		}
+		end := sched.Offset(len(s.records) + 1)
+		to := min(from+versn.ReadLimit, end)
+		r.LogReached(now)
+		r.Page(now, sched.Page{Records: s.records[from-1 : max(to, from)-1], Earliest: s.first(), Next: end})
+		if r.Next() >= end {
+			return
+		}
+	}
+}
+
+func newReplay(id sched.InstanceID) *versn.Replay {
+	return versn.New(versn.Options{Self: id, Retention: 24 * time.Hour, Decode: codec.DecodeConfig})
+}
+
+func document(text string) config.Document {
+	d, err := config.Decode([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+func patch(id string, base sched.Offset, from, to config.Document) versn.Entry {
+	return versn.Entry{Patch: &versn.Patch{
+		ID: id, Base: base, Changes: config.NewPatch(from, to).Bytes(), Hash: to.Hash(), Operator: "op-" + id,
+	}}
+}
+
+// Guards against two racing applies that are both in force, and against a
+// retry after a lost acknowledgement that is applied twice.
+func TestFirstPatchInLogOrderWins(t *testing.T) {
+	i := is.New(t)
+	empty, one, two := config.Document{}, document(`{"a":"1"}`), document(`{"b":"2"}`)
+	s := &stream{}
+	first := s.append(patch("x", 0, empty, one))
+	s.append(patch("y", 0, empty, two))
+	s.append(patch("x", 0, empty, one))
+	s.append(versn.Entry{Patch: &versn.Patch{ID: "z", Base: first, Changes: []byte(`{"c":"3"}`)}})
+	r := newReplay("i")
+	s.read(epoch, r)
+	v, doc := r.InForce()
+	i.Equal(v, first)
+	i.Equal(doc.Hash(), one.Hash())
+	i.Equal(r.Answer("x").Verdict, versn.Accepted)
+	i.Equal(r.Answer("x").Offset, first)
+	i.Equal(r.Answer("z").Verdict, versn.Invalid) // the hash doesn't match
+	i.Equal(r.Answer("w").Verdict, versn.NotSeen)
+	y := r.Answer("y")
+	i.Equal(y.Verdict, versn.Conflict)
+	i.Equal(y.InForce, first)
+	i.Equal(y.Mine, []config.Change{{Field: "b", New: `"2"`}})
+	i.Equal(y.Theirs, []config.Change{{Field: "a", New: `"1"`}})
+}
+
+// grow appends n accepted changes and returns the newest version.
+func grow(s *stream, r *versn.Replay, n int) sched.Offset {
+	for k := range n {
+		s.read(epoch, r)
+		base, from := r.InForce()
+		s.append(patch(fmt.Sprintf("g%d-%d", len(s.records), k), base, from, document(fmt.Sprintf(`{"n":"%d"}`, len(s.records)))))
+	}
+	s.read(epoch, r)
+	v, _ := r.InForce()
+	return v
+}
+
+// Guards against a fresh reader that starts from a snapshot although records
+// after it are gone, and against one that reads the whole stream.
+func TestFreshReaderNeedsAllRecordsAfterTheSnapshot(t *testing.T) {
+	i := is.New(t)
+	s, writer := &stream{}, newReplay("writer")
+	grow(s, writer, 30)
+	snap := writer.Snapshot(epoch)
+	between := grow(s, writer, 5)
+	s.append(versn.Entry{Snapshot: &snap})
+	last := grow(s, writer, 700)
+
+	s.earliest = snap.ReadTo + 1
+	r := newReplay("fresh")
+	s.read(epoch, r)
+	v, doc := r.InForce()
+	_, want := writer.InForce()
+	i.Equal(v, last)
+	i.Equal(doc.Hash(), want.Hash())
+
+	s.earliest = snap.ReadTo + 2 // the first record after the snapshot is gone
+	r = newReplay("late")
+	s.read(epoch, r)
+	v, _ = r.InForce()
+	i.Equal(v, sched.Offset(0))
+	i.True(!r.Ready(epoch))
+	i.True(between > snap.ReadTo)
+	i.True(r.TakeCopy(writer.Copy())) // a peer's copy continues it
+	grow(s, writer, 1)
+	s.read(epoch, r)
+	got, _ := r.InForce()
+	i.Equal(got, last+1)
+	i.True(r.Ready(epoch))
+}
+
+// Guards against a version that falls, by a stale copy or a gap in the log.
+func TestVersionNeverFalls(t *testing.T) {
+	i := is.New(t)
+	s, r := &stream{}, newReplay("i")
+	grow(s, r, 3)
+	stale := r.Copy()
+	last := grow(s, r, 3)
+	i.True(!r.TakeCopy(stale))
+	v, _ := r.InForce()
+	i.Equal(v, last)
+	other := newReplay("other")
+	i.True(other.TakeCopy(r.Copy()))
+	i.True(!other.TakeCopy(stale))
+	s.earliest = last + 1
+	s.append(patch("nobase", 0, config.Document{}, config.Document{}))
+	other.Trimmed(last + 2)
+	v, _ = other.InForce()
+	i.Equal(v, last)
+}
+
+// Guards against a retention that ends before the next snapshot, and against a
+// snapshot that triggers the next one.
+func TestSnapshotIsDueBeforeRetentionEnds(t *testing.T) {
+	i := is.New(t)
+	s, r := &stream{}, newReplay("i")
+	grow(s, r, 2)
+	i.True(r.SnapshotDue(epoch, true)) // there is none yet
+	i.True(!r.SnapshotDue(epoch, false))
+	snap := r.Snapshot(epoch)
+	i.True(!r.SnapshotDue(epoch, true)) // the record has not been read back
+	s.append(versn.Entry{Snapshot: &snap})
+	s.read(epoch, r)
+	s.earliest = 3 // only the snapshot is left
+	s.read(epoch, r)
+	i.True(!r.SnapshotDue(epoch.Add(11*time.Hour), true))
+	i.True(r.SnapshotDue(epoch.Add(13*time.Hour), true))
+	i.True(!r.SnapshotDue(epoch.Add(13*time.Hour), false))
+	i.True(r.SnapshotDue(epoch.Add(19*time.Hour), false))
+	grow(s, r, 300)
+	i.True(r.SnapshotDue(epoch.Add(time.Hour), true))
+}
