--- /dev/null
+++ b/internal/version/rules/rules.go
@@ -0,0 +1,103 @@
+// Package rules compiles one version of the settings for the traffic
+// goroutines: lookup by name, shares and limits. Rules are immutable, so a
+// request that took them at its start finishes under the same version.
+package rules
+
+import (
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Rules is one compiled version.
+type Rules struct {
+	version  sched.Offset
+	limits   sched.LimitSettings
+	services map[string]sched.ServiceSettings
+	kinds    map[string]sched.TaskKindSettings
+	partners map[string]sched.PartnerSettings
+	teams    map[string]sched.TeamSettings
+	regions  map[sched.DataCentre]sched.Region
+	centres  map[sched.Region][]sched.DataCentre
+}
+
+// Compile makes the rules of the settings.
+func Compile(s sched.Settings) *Rules {
+	r := &Rules{
+		version:  s.Version,
+		limits:   s.Limits,
+		services: make(map[string]sched.ServiceSettings, len(s.Services)),
+		kinds:    make(map[string]sched.TaskKindSettings, len(s.TaskKinds)),
+		partners: make(map[string]sched.PartnerSettings, len(s.Partners)),
+		teams:    make(map[string]sched.TeamSettings, len(s.Teams)),
+		regions:  map[sched.DataCentre]sched.Region{},
+		centres:  make(map[sched.Region][]sched.DataCentre, len(s.Regions)),
+	}
+	for _, v := range s.Services {
+		r.services[v.Name] = v
+	}
+	for _, v := range s.TaskKinds {
+		r.kinds[v.Name] = v
+	}
+	for _, v := range s.Partners {
+		r.partners[v.Name] = v
+	}
+	for _, v := range s.Teams {
+		r.teams[v.Name] = v
+	}
+	for _, v := range s.Regions {
+		r.centres[v.Name] = v.DataCentres
+		for _, d := range v.DataCentres {
+			r.regions[d] = v.Name
+		}
+	}
+	return r
+}
+
+// Version returns the version that was compiled.
+func (r *Rules) Version() sched.Offset { return r.version }
+
+// Limits returns the limits of the whole system.
+func (r *Rules) Limits() sched.LimitSettings { return r.limits }
+
+// Service returns the service with the name.
+func (r *Rules) Service(name string) (sched.ServiceSettings, bool) {
+	s, ok := r.services[name]
+	return s, ok
+}
+
+// TaskKind returns the task kind with the name.
+func (r *Rules) TaskKind(name string) (sched.TaskKindSettings, bool) {
+	k, ok := r.kinds[name]
+	return k, ok
+}
+
+// Partner returns the partner with the name.
+func (r *Rules) Partner(name string) (sched.PartnerSettings, bool) {
+	p, ok := r.partners[name]
+	return p, ok
+}
+
+// Team returns the team with the name if it belongs to the partner. A request
+// that names another partner's team must not use that team's quota.
+func (r *Rules) Team(partner, name string) (sched.TeamSettings, bool) {
+	t, ok := r.teams[name]
+	if !ok || t.Partner != partner {
+		return sched.TeamSettings{}, false
+	}
+	return t, true
+}
+
+// UrgencyShare returns the guaranteed part of the capacity of a class, 0 for
+// an unknown one.
+func (r *Rules) UrgencyShare(u sched.Urgency) float64 {
+	if u < sched.UrgencyBackground || u > sched.UrgencyUrgent {
+		return 0
+	}
+	return r.limits.UrgencyShares[u]
+}
+
+// Region returns the region of a data centre, empty if no region lists it.
+func (r *Rules) Region(d sched.DataCentre) sched.Region { return r.regions[d] }
+
+// DataCentres returns the data centres of a region in the order of the
+// settings. The caller must not change the slice.
+func (r *Rules) DataCentres(n sched.Region) []sched.DataCentre { return r.centres[n] }
--- a/pkg/versn/replay.go
+++ b/pkg/versn/replay.go
@@ -32,6 +32,9 @@
 	Self sched.InstanceID
 	// Retention is the time for which the log keeps a record.
 	Retention time.Duration
+	// Whole reads everything that the log holds instead of beginning near its
+	// end, for a reader that looks for an old id.
+	Whole bool
 	// Decode reads a record; codec.DecodeConfig does it.
 	Decode func([]byte) (Entry, error)
 }
@@ -116,7 +119,7 @@
 	r.earliest, r.end = p.Earliest, p.Next
 	first := !r.read
 	r.read = true
-	if first && r.force.number == 0 && r.jump(p) {
+	if first && !r.options.Whole && r.force.number == 0 && r.jump(p) {
 		return false
 	}
 	for _, rec := range p.Records {
@@ -283,6 +286,21 @@
 	}
 }
 
+// Document returns a version that was read and is recent enough to be kept.
+func (r *Replay) Document(v sched.Offset) (config.Document, bool) {
+	for _, w := range []version{r.force, r.log} {
+		if w.number == v {
+			return w.doc, true
+		}
+	}
+	for _, w := range r.history {
+		if w.number == v {
+			return w.doc, true
+		}
+	}
+	return config.Document{}, v == 0
+}
+
 // Answer tells what became of the patch with the id.
 func (r *Replay) Answer(id string) Answer { return r.answers[id] }
 
