Test versn under faults and pass changes on in heartbeats

Cause: I9 has to hold with outages, slow reads, lost acknowledgements, late appends, trimming, crashes, stale copies and one-way cuts in any order.

Change: a rapid state machine over five instances in two data centres, a log with retention, a late list and one-way links, in virtual time. An oracle that sees every record says which versions exist.

The model leaves out two cases, as no design could hold there: nobody reaches the log for longer than its retention, and a process that starts more than once in 10 s.

--- a/pkg/member/contact.go
+++ b/pkg/member/contact.go
@@ -14,7 +14,8 @@
 
 // bothCallAfter is the silence after which a peer is called although it is its
 // turn to call. It is below DefaultSilence, so that one lost call doesn't make
-// a peer unreachable.
+// a peer unreachable. These calls come every second interval only, as a peer
+// behind a cut would else take twice the bytes.
 const bothCallAfter = 1500 * time.Millisecond
 
 // Contacts returns the entry instances to exchange heartbeats with now. It is
@@ -23,6 +24,7 @@
 // call, another one each time.
 func (t *Table) Contacts(now time.Time) []sched.Member {
 	self := t.options.Self
+	even := now.UnixNano()/int64(ContactInterval)%2 == 0
 	var contacts, outside []sched.Member
 	for _, m := range t.View().All() {
 		if m.Role != sched.RoleEntry || m.ID == self.ID || m.State == sched.StateGone || m.Address == "" {
@@ -33,7 +35,7 @@
 			continue
 		}
 		e := t.entries[m.ID]
-		if calls(self.ID, m.ID) || now.Sub(e.heardAt) > bothCallAfter {
+		if calls(self.ID, m.ID) || even && now.Sub(e.heardAt) > bothCallAfter {
 			contacts = append(contacts, m)
 		}
 	}
--- a/pkg/sched/peer.go
+++ b/pkg/sched/peer.go
@@ -25,6 +25,23 @@
 	Demand []TeamDemand
 }
 
+// ConfigStep is one accepted change of the configuration.
+type ConfigStep struct {
+	Base    Offset
+	Version Offset
+	// Changes is a merge patch, Hash that of the resulting document.
+	Changes []byte
+	Hash    [32]byte
+}
+
+// ConfigNews brings a peer that can't read the log from its version to that of
+// the sender.
+type ConfigNews struct {
+	// AsOf is the offset up to which the sender has read the config stream.
+	AsOf  Offset
+	Steps []ConfigStep
+}
+
 // PartnerTotal is the number of requests that an incarnation answered for a
 // partner since its start.
 type PartnerTotal struct {
@@ -55,6 +72,8 @@
 	// Demand holds the teams whose demand at the sender changed.
 	Demand []TeamDemand
 	Areas  []AreaDemand
+	// Config is set for receivers whose LogReached is old.
+	Config ConfigNews
 	Totals []PartnerTotal
 }
 
--- a/pkg/versn/copy.go
+++ b/pkg/versn/copy.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// logSilence is how long the log may be silent before a copy is fetched
-	// from a peer that reports a newer version.
+	// logSilence is how long the log may be silent before versions are taken
+	// from peers.
 	logSilence = 3 * time.Second
-	// copyRate bounds the bytes per second spent on copies, half of the whole
-	// budget of a node.
-	copyRate = 4 << 10
+	// copyRate bounds the bytes per second spent on whole copies, as receiver
+	// and as sender, to a part of the 8 KB/s of a node.
+	copyRate = 2 << 10
 	// maxCopyPause keeps the pause that copyRate asks for within what the
 	// bound of 13 s allows.
-	maxCopyPause = 8 * time.Second
+	maxCopyPause = 6 * time.Second
 	// heardFor is how long a fresh instance waits for a version that a peer
 	// reported but that it can't get.
 	heardFor = 30 * time.Second
@@ -24,11 +24,24 @@
 
 // peerState is what peers reported.
 type peerState struct {
-	heard   sched.Offset
-	heardAt time.Time
-	askedAt time.Time
-	logAt   time.Time
-	ready   bool
+	heard    sched.Offset
+	heardAt  time.Time
+	askedAt  time.Time
+	servedAt time.Time
+	sent     map[sched.InstanceID]sentNews
+	// logAt is the newest successful read of the log, or the first use.
+	logAt time.Time
+	// logSince is the begin of the reads without a silence in between.
+	logSince time.Time
+	ready    bool
+}
+
+// silent tells whether the log has not answered for a while.
+func (p *peerState) silent(now time.Time) bool {
+	if p.logAt.IsZero() {
+		p.logAt = now // a fresh instance asks the log first
+	}
+	return now.Sub(p.logAt) > logSilence
 }
 
 // Copy returns the version in force for a peer that asks for it.
@@ -46,19 +59,23 @@
 	if err != nil {
 		return false
 	}
-	v := version{c.Version, doc, c.AsOf}
 	before := r.force.number
+	r.adopt(version{c.Version, doc, c.AsOf})
+	return r.force.number != before
+}
+
+// adopt takes a version from a peer that is not older than the one in force.
+func (r *Replay) adopt(v version) {
 	if v.number > r.force.number || v.asOf > r.force.asOf {
 		r.force = v
 	}
 	switch {
 	case !r.anchored:
 		r.anchor(v)
-	case c.AsOf-r.log.asOf > searchStep || !r.read && c.AsOf > r.log.asOf:
+	case v.asOf-r.log.asOf > searchStep || !r.read && v.asOf > r.log.asOf:
 		r.log = v // reading on from here instead of all that lies between
 	}
 	r.promote()
-	return r.force.number != before
 }
 
 // Heard records the version that a peer reports in its heartbeat.
@@ -69,27 +86,43 @@
 }
 
 // LogReached records a successful read of the log.
-func (r *Replay) LogReached(now time.Time) { r.peers.logAt = now }
+func (r *Replay) LogReached(now time.Time) {
+	if r.peers.logSince.IsZero() || r.peers.silent(now) {
+		r.peers.logSince = now
+	}
+	r.peers.logAt = now
+}
 
 // WantCopy tells whether to fetch a copy from a peer that reports version v.
 // It returns true at most once per pause, which grows with the size of the
-// document.
+// document. News in heartbeats make most copies unnecessary.
 func (r *Replay) WantCopy(now time.Time, v sched.Offset) bool {
-	if v <= r.force.number {
+	// Without an anchor the log tells nothing until the next snapshot; the copy
+	// of a peer that has read on is an anchor also if its version is known.
+	lost := !r.anchored && r.Next() >= r.end
+	newer := v > r.force.number || lost && v > 0 && v == r.force.number
+	if !newer || !r.peers.silent(now) && !lost || now.Sub(r.peers.askedAt) < r.copyPause() {
 		return false
 	}
-	silent := now.Sub(r.peers.logAt) > logSilence
-	if !silent && r.force.number > 0 && r.anchored {
-		return false // the log will tell
-	}
-	pause := time.Duration(len(r.force.doc.Bytes())) * time.Second / copyRate
-	if now.Sub(r.peers.askedAt) < min(max(pause, time.Second), maxCopyPause) {
+	r.peers.askedAt = now
+	return true
+}
+
+// ServeCopy tells whether to answer a peer that asks for a copy. It bounds the
+// bytes when many ask one; those that got a copy can serve the others.
+func (r *Replay) ServeCopy(now time.Time) bool {
+	if r.force.number == 0 || now.Sub(r.peers.servedAt) < r.copyPause() {
 		return false
 	}
-	r.peers.askedAt = now
+	r.peers.servedAt = now
 	return true
 }
 
+func (r *Replay) copyPause() time.Duration {
+	pause := time.Duration(len(r.force.doc.Bytes())) * time.Second / copyRate
+	return min(max(pause, time.Second), maxCopyPause)
+}
+
 // Ready tells whether the instance may serve under the version in force. A
 // fresh instance waits for the end of the log or, while the log is
 // unreachable, for the newest version that a peer reported, so that it doesn't
@@ -99,7 +132,6 @@
 		return r.peers.ready
 	}
 	newest := r.force.number >= r.peers.heard || now.Sub(r.peers.heardAt) > heardFor
-	logSilent := now.Sub(r.peers.logAt) > logSilence
-	r.peers.ready = r.CaughtUp() || newest && logSilent
+	r.peers.ready = r.CaughtUp() || newest && r.peers.silent(now)
 	return r.peers.ready
 }
--- /dev/null
+++ b/pkg/versn/model_test.go
@@ -0,0 +1,302 @@
+package versn_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/config"
+	"github.com/parsleybarrow/parsleybarrow/pkg/member"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/versn"
+)
+
+// The model: instances in two data centres, a log, a list and links, all in
+// virtual time of one step a second.
+const (
+	nodes     = 5
+	retention = 90 * time.Second
+	listLag   = 5 // steps
+	// Sizes in bytes besides the payload: of a call over HTTP, of a record in
+	// the JSON of the log, of a heartbeat (section 6 of the design page).
+	callBytes, recordBytes, beatBytes = 300, 40, 200
+)
+
+type landed struct {
+	record sched.Record
+	at     time.Time
+}
+
+// modelLog keeps every record; first is the oldest that is retained.
+type modelLog struct {
+	all     []landed
+	first   int
+	late    []landed
+	outage  bool
+	skipped map[int]bool // nodes whose next read gets no answer in time
+}
+
+func (l *modelLog) next() sched.Offset { return sched.Offset(len(l.all) + 1) }
+
+func (l *modelLog) add(now time.Time, data []byte) {
+	l.all = append(l.all, landed{sched.Record{Offset: l.next(), Data: data}, now})
+}
+
+func (l *modelLog) tick(now time.Time) {
+	var rest []landed
+	for _, p := range l.late {
+		if now.Before(p.at) {
+			rest = append(rest, p)
+			continue
+		}
+		l.add(now, p.record.Data)
+	}
+	l.late = rest
+	for l.first < len(l.all) && now.Sub(l.all[l.first].at) > retention {
+		l.first++
+	}
+}
+
+func (l *modelLog) page(from sched.Offset) (sched.Page, int) {
+	p := sched.Page{Earliest: sched.Offset(l.first + 1), Next: l.next()}
+	bytes := callBytes
+	for o := from; o < p.Next && len(p.Records) < versn.ReadLimit; o++ {
+		r := l.all[o-1].record
+		p.Records = append(p.Records, r)
+		bytes += recordBytes + len(r.Data)*4/3
+	}
+	return p, bytes
+}
+
+// modelNode is one instance. Its loop is what the daemon does every second.
+type modelNode struct {
+	index       int
+	self        sched.Member
+	replay      *versn.Replay
+	table       *member.Table
+	cut         bool // from the log
+	noList      bool
+	seen        sched.Offset // the largest version of this incarnation
+	bytes       []spent      // per step
+	startedAt   int          // step of the newest start
+	incarnation sched.Incarnation
+	logReached  time.Time
+	// versions and reached are what the peers last reported.
+	versions map[sched.InstanceID]sched.Offset
+	reached  map[sched.InstanceID]time.Time
+}
+
+// spent is the number of bytes by what they were for.
+type spent struct{ log, beats, copies, snapshots int }
+
+func (s spent) sum() int { return s.log + s.beats + s.copies + s.snapshots }
+
+func (n *modelNode) spend() *spent { return &n.bytes[len(n.bytes)-1] }
+
+type model struct {
+	now     time.Time
+	log     modelLog
+	nodes   []*modelNode
+	links   [nodes][nodes]bool // true is cut, from the first to the second
+	lists   [][]sched.Member
+	copies  []sched.ConfigCopy // copies that were on the way for long
+	patches int
+	chain   []accepted
+	chained int
+}
+
+type accepted struct {
+	version sched.Offset
+	doc     config.Document
+}
+
+func newModel() *model {
+	m := &model{now: epoch}
+	m.log.skipped = map[int]bool{}
+	m.chain = []accepted{{}}
+	for k := range nodes {
+		m.nodes = append(m.nodes, &modelNode{index: k})
+		m.start(k)
+	}
+	return m
+}
+
+func (m *model) start(k int) {
+	n := m.nodes[k]
+	n.incarnation++
+	n.seen = 0
+	n.logReached = time.Time{}
+	n.versions, n.reached = map[sched.InstanceID]sched.Offset{}, map[sched.InstanceID]time.Time{}
+	n.startedAt = len(n.bytes)
+	n.self = sched.Member{
+		ID: sched.InstanceID(fmt.Sprint("entry-", k)), Incarnation: n.incarnation, Role: sched.RoleEntry,
+		State: sched.StateLive, DataCentre: sched.DataCentre(fmt.Sprint("dc-", k%2)), Address: fmt.Sprint(k),
+	}
+	n.table = member.New(m.now, member.Options{Self: n.self})
+	n.replay = versn.New(versn.Options{Self: n.self.ID, Retention: retention, Decode: codec.DecodeConfig})
+	if len(m.lists) > 0 { // a process reads the list at its start
+		n.table.List(m.now, m.lists[max(0, len(m.lists)-listLag)])
+	}
+}
+
+// oracle follows the log record by record, with every record that ever was.
+func (m *model) oracle() accepted {
+	for ; m.chained < len(m.log.all); m.chained++ {
+		r := m.log.all[m.chained].record
+		e, err := codec.DecodeConfig(r.Data)
+		last := m.chain[len(m.chain)-1]
+		if err != nil || e.Patch == nil || e.Patch.Base != last.version {
+			continue
+		}
+		p, perr := config.DecodePatch(e.Patch.Changes)
+		doc, aerr := last.doc.Apply(p)
+		if perr == nil && aerr == nil && doc.Hash() == e.Patch.Hash {
+			m.chain = append(m.chain, accepted{r.Offset, doc})
+		}
+	}
+	return m.chain[len(m.chain)-1]
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(time.Second)
+	m.log.tick(m.now)
+	var list []sched.Member
+	for _, n := range m.nodes {
+		list = append(list, n.self)
+		n.bytes = append(n.bytes, spent{})
+	}
+	m.lists = append(m.lists, list)
+	for _, n := range m.nodes {
+		m.readLog(n)
+		m.exchange(n)
+		if !n.noList && len(m.lists) > listLag {
+			n.table.List(m.now, m.lists[len(m.lists)-1-listLag])
+		}
+		n.table.Tick(m.now)
+		m.writeSnapshot(n)
+	}
+	clear(m.log.skipped)
+}
+
+func (m *model) readLog(n *modelNode) {
+	if n.cut || m.log.outage || m.log.skipped[n.index] {
+		return
+	}
+	if earliest := sched.Offset(m.log.first + 1); n.replay.Next() < earliest {
+		n.spend().log += callBytes
+		n.replay.LogReached(m.now)
+		n.replay.Trimmed(earliest)
+	}
+	p, bytes := m.log.page(n.replay.Next())
+	n.spend().log += bytes
+	n.logReached = m.now
+	n.replay.LogReached(m.now)
+	n.replay.Page(m.now, p)
+}
+
+func (m *model) exchange(n *modelNode) {
+	for _, c := range n.table.Contacts(m.now) {
+		k := slices.IndexFunc(m.nodes, func(o *modelNode) bool { return o.self.Address == c.Address })
+		p := m.nodes[k]
+		if m.links[n.index][k] {
+			n.table.Missed(m.now, c.ID, c.Incarnation)
+			continue
+		}
+		ask := n.heartbeat()
+		ask.Config = n.replay.News(m.now, c.ID, n.versions[c.ID], n.reached[c.ID])
+		m.hear(p, n, ask)
+		answer := p.heartbeat()
+		answer.Config = p.replay.News(m.now, n.self.ID, ask.Version, ask.LogReached)
+		if m.links[k][n.index] { // the answer is lost
+			n.table.Missed(m.now, c.ID, c.Incarnation)
+			continue
+		}
+		m.hear(n, p, answer)
+	}
+}
+
+func (n *modelNode) heartbeat() sched.Heartbeat {
+	v, _ := n.replay.InForce()
+	return sched.Heartbeat{
+		From: n.self.ID, Incarnation: n.incarnation, DataCentre: n.self.DataCentre,
+		Address: n.self.Address, State: sched.StateLive, Version: v, LogReached: n.logReached,
+	}
+}
+
+func (m *model) hear(n, from *modelNode, h sched.Heartbeat) {
+	bytes := beatBytes
+	for _, s := range h.Config.Steps {
+		bytes += len(s.Changes) + len(s.Hash) + 20
+	}
+	n.spend().beats += bytes
+	from.spend().beats += bytes
+	n.versions[h.From], n.reached[h.From] = h.Version, h.LogReached
+	n.table.Heartbeat(m.now, h)
+	n.replay.Heard(m.now, h.Version)
+	n.replay.TakeNews(h.Config)
+	if !n.replay.WantCopy(m.now, h.Version) {
+		return
+	}
+	// The call goes the other way, so it fails where that way is cut.
+	if m.links[n.index][from.index] || !from.replay.ServeCopy(m.now) {
+		return
+	}
+	c := from.replay.Copy()
+	m.copies = append(m.copies, c)
+	n.spend().copies += callBytes + len(c.Document)
+	from.spend().copies += callBytes + len(c.Document)
+	n.replay.TakeCopy(c)
+}
+
+func (m *model) writeSnapshot(n *modelNode) {
+	owner, _ := rendez.SnapshotWriter(sched.ConfigStream).Owner(n.table.View().AllCandidates())
+	if n.cut || m.log.outage || !n.replay.SnapshotDue(m.now, owner == n.self.ID) {
+		return
+	}
+	s := n.replay.Snapshot(m.now)
+	data, _ := codec.EncodeConfig(versn.Entry{Snapshot: &s})
+	n.spend().snapshots += callBytes + len(data)*4/3
+	m.log.add(m.now, data)
+}
+
+// check returns what is wrong, seen from outside.
+func (m *model) check() error {
+	m.oracle()
+	for _, n := range m.nodes {
+		v, doc := n.replay.InForce()
+		if v < n.seen {
+			return fmt.Errorf("%s fell from version %d to %d", n.self.ID, n.seen, v)
+		}
+		n.seen = v
+		k := slices.IndexFunc(m.chain, func(a accepted) bool { return a.version == v })
+		if k < 0 {
+			return fmt.Errorf("%s has version %d in force, which the log didn't accept", n.self.ID, v)
+		}
+		if doc.Hash() != m.chain[k].doc.Hash() {
+			return fmt.Errorf("%s has another document for version %d: %s", n.self.ID, v, doc.Bytes())
+		}
+	}
+	return nil
+}
+
+// byteRate returns the largest number of bytes per second of any node over any
+// 10 steps, and a description of it.
+func (m *model) byteRate() (rate int, what string) {
+	const window = 10
+	for _, n := range m.nodes {
+		sum := 0
+		for k, b := range n.bytes {
+			sum += b.sum()
+			if k >= window {
+				sum -= n.bytes[k-window].sum()
+			}
+			if sum/window > rate {
+				rate, what = sum/window, fmt.Sprintf("%s until step %d, log, beats, copies, snapshots %v",
+					n.self.ID, k, n.bytes[max(0, k-window+1):k+1])
+			}
+		}
+	}
+	return rate, what
+}
--- a/pkg/versn/replay.go
+++ b/pkg/versn/replay.go
@@ -14,11 +14,12 @@
 	// 8 KB/s.
 	ReadLimit = 20
 	// snapshotEvery is the number of records after which a snapshot is due. It
-	// bounds what a fresh reader has to read.
-	snapshotEvery = 256
+	// bounds what a fresh reader has to read: 64 patches of about 300 bytes are
+	// as large as the snapshot itself.
+	snapshotEvery = 64
 	// searchStep is how far before the end a fresh reader begins to look for a
 	// snapshot. It doubles while none is found.
-	searchStep = 2 * snapshotEvery
+	searchStep = snapshotEvery
 	// maxPending bounds the records that are kept while no snapshot is known.
 	maxPending = 1 << 16
 	// keptVersions bounds the older documents kept to explain conflicts.
@@ -70,6 +71,7 @@
 	earliest sched.Offset
 	end      sched.Offset
 	history  []version
+	steps    []sched.ConfigStep
 	answers  map[string]Answer
 	order    []string
 	snapshot snapshotState
@@ -78,7 +80,10 @@
 
 // New returns the state of an instance that has read nothing.
 func New(o Options) *Replay {
-	return &Replay{options: o, anchored: true, step: searchStep, answers: map[string]Answer{}}
+	return &Replay{
+		options: o, anchored: true, step: searchStep, answers: map[string]Answer{},
+		peers: peerState{sent: map[sched.InstanceID]sentNews{}},
+	}
 }
 
 // Next returns the offset to read from.
@@ -235,6 +240,7 @@
 	if len(r.history) > keptVersions {
 		r.history = slices.Delete(r.history, 0, 1)
 	}
+	r.keepStep(sched.ConfigStep{Base: p.Base, Version: n.offset, Changes: p.Changes, Hash: p.Hash})
 	r.log = version{n.offset, doc, n.offset}
 	a.Verdict = Accepted
 	r.remember(p.ID, a)
--- a/pkg/versn/replay_test.go
+++ b/pkg/versn/replay_test.go
@@ -159,6 +159,17 @@
 	other.Trimmed(last + 2)
 	v, _ = other.InForce()
 	i.Equal(v, last)
+
+	// A copy is ahead of what has been read of the log.
+	s, behind := &stream{}, newReplay("behind")
+	grow(s, behind, 3)
+	ahead := newReplay("ahead")
+	newest := grow(s, ahead, 40)
+	i.True(behind.TakeCopy(ahead.Copy()))
+	next := behind.Next()
+	i.True(!behind.Page(epoch, sched.Page{Records: s.records[next-1 : next+9], Earliest: 1, Next: newest + 1}))
+	v, _ = behind.InForce()
+	i.Equal(v, newest)
 }
 
 // Guards against a retention that ends before the next snapshot, and against a
