--- /dev/null
+++ b/internal/request/proxy/count.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// counterKey names a counter of requests. Service and partner are empty for a
+// request that was refused before they were checked, so that callers can't
+// create counters.
+type counterKey struct {
+	service string
+	partner string
+	code    sched.Code
+}
+
+// count counts one end of a request.
+func (p *Proxy) count(q *request, code sched.Code) {
+	k := counterKey{code: code}
+	n := p.rules.Load()
+	if q != nil && n != nil && n.partners[q.Partner] {
+		k.service, k.partner = q.Service, q.Partner
+	}
+	c, known := p.counters.Load(k)
+	if !known {
+		m := &metrics.Counter{}
+		if p.Metrics != nil {
+			m = p.Metrics.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_total{service=%q,partner=%q,code="%d"}`,
+				k.service, k.partner, int(code)))
+		}
+		c, _ = p.counters.LoadOrStore(k, m)
+	}
+	c.(*metrics.Counter).Inc()
+}
+
+// Totals returns the number of answered requests by partner and service since
+// the start. Repeats of an answered id aren't counted, since they didn't run.
+func (p *Proxy) Totals() []sched.PartnerTotal {
+	var totals []sched.PartnerTotal
+	p.counters.Range(func(key, value any) bool {
+		k := key.(counterKey)
+		if k.code == sched.CodeAnswered {
+			totals = append(totals, sched.PartnerTotal{
+				Partner: k.partner, Service: k.service, Answers: int64(value.(*metrics.Counter).Get()),
+			})
+		}
+		return true
+	})
+	sort.Slice(totals, func(i, j int) bool {
+		a, b := totals[i], totals[j]
+		if a.Partner != b.Partner {
+			return a.Partner < b.Partner
+		}
+		return a.Service < b.Service
+	})
+	return totals
+}
+
+// Counts returns the number of ended requests by code.
+func (p *Proxy) Counts() map[sched.Code]uint64 {
+	counts := map[sched.Code]uint64{}
+	p.counters.Range(func(key, value any) bool {
+		counts[key.(counterKey).code] += value.(*metrics.Counter).Get()
+		return true
+	})
+	return counts
+}
--- /dev/null
+++ b/internal/request/proxy/read.go
@@ -0,0 +1,228 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/dedup"
+	"github.com/parsleybarrow/parsleybarrow/pkg/retry"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// PathPrefix is the prefix of the callers' paths.
+const PathPrefix = "/services/"
+
+// maxIDLength bounds the id of a repeatable request, in bytes.
+const maxIDLength = 128
+
+// request is a checked request with the rules that it started with.
+type request struct {
+	sched.Request
+	retry   *retry.Policy
+	started time.Time
+}
+
+// refusal is the reason why a request did not run.
+type refusal struct {
+	code       sched.Code
+	retryAfter time.Duration
+	// field names the malformed part of the request.
+	field string
+}
+
+// rules are the parts of one configuration version that requests need.
+type rules struct {
+	settings *sched.Settings
+	services map[string]*service
+	partners map[string]bool
+	// teams holds the partner of each team.
+	teams map[string]string
+}
+
+type service struct {
+	sched.ServiceSettings
+	retry *retry.Policy
+}
+
+// rulesInForce compiles a version when it is first seen. Retry budgets of
+// services whose share is unchanged go on.
+func (p *Proxy) rulesInForce() *rules {
+	s := p.Settings()
+	old := p.rules.Load()
+	if s == nil || (old != nil && old.settings == s) {
+		return old
+	}
+	n := &rules{settings: s, services: map[string]*service{}, partners: map[string]bool{}, teams: map[string]string{}}
+	for _, v := range s.Services {
+		if old != nil && old.services[v.Name] != nil && old.services[v.Name].RetryBudget == v.RetryBudget {
+			n.services[v.Name] = &service{v, old.services[v.Name].retry}
+			continue
+		}
+		n.services[v.Name] = &service{v, retry.NewPolicy(v.RetryBudget, p.Seed+uint64(len(n.services)))}
+	}
+	for _, v := range s.Partners {
+		n.partners[v.Name] = true
+	}
+	for _, v := range s.Teams {
+		n.teams[v.Name] = v.Partner
+	}
+	p.rules.CompareAndSwap(old, n)
+	return n
+}
+
+// read checks the head of a request and reads its body.
+func (p *Proxy) read(w http.ResponseWriter, r *http.Request) (*request, refusal) {
+	now := p.Clock.Now()
+	n := p.rulesInForce()
+	if n == nil {
+		return nil, refusal{code: sched.CodeNotReady, retryAfter: time.Second}
+	}
+	name, path, ok := splitPath(r.URL.RequestURI())
+	if !ok {
+		return nil, refusal{code: sched.CodeBadRequest, field: "path"}
+	}
+	s := n.services[name]
+	if s == nil {
+		return nil, refusal{code: sched.CodeUnknownService}
+	}
+	h := r.Header
+	q := &request{retry: s.retry, started: now, Request: sched.Request{
+		ID: h.Get(sched.HeaderRequestID), Service: name, Partner: h.Get(sched.HeaderPartner),
+		Team: h.Get(sched.HeaderTeam), Urgency: s.Urgency, Method: r.Method, Path: path,
+		Unrepeatable: h.Get(sched.HeaderUnrepeatable) == "true", Deadline: now.Add(s.Timeout),
+	}}
+	if f := p.check(q, h, n); f.code != 0 {
+		return q, f
+	}
+	if f := p.readBody(q, w, r); f.code != 0 {
+		return q, f
+	}
+	if p.Quota != nil {
+		if wait, ok := p.Quota.Take(q.Team, now); !ok {
+			return q, refusal{code: sched.CodeQuotaExceeded, retryAfter: wait}
+		}
+	}
+	q.Header = forwarded(h)
+	q.retry.Request()
+	return q, refusal{}
+}
+
+// splitPath cuts /services/<service>/<path> and keeps the query.
+func splitPath(uri string) (name, path string, ok bool) {
+	rest, ok := strings.CutPrefix(uri, PathPrefix)
+	if !ok {
+		return "", "", false
+	}
+	at := strings.IndexAny(rest, "/?")
+	switch {
+	case at < 0:
+		name, path = rest, "/"
+	case rest[at] == '?':
+		name, path = rest[:at], "/"+rest[at:]
+	default:
+		name, path = rest[:at], rest[at:]
+	}
+	return name, path, name != ""
+}
+
+func (p *Proxy) check(q *request, h http.Header, n *rules) refusal {
+	if q.Method != http.MethodPost && q.Method != http.MethodGet {
+		return refusal{code: sched.CodeBadRequest, field: "method"}
+	}
+	if partner, known := n.teams[q.Team]; !n.partners[q.Partner] || q.Team != "" && (!known || partner != q.Partner) {
+		return refusal{code: sched.CodeUnknownPartner}
+	}
+	if text := h.Get(sched.HeaderUnrepeatable); text != "" && text != "true" && text != "false" {
+		return refusal{code: sched.CodeBadRequest, field: sched.HeaderUnrepeatable}
+	}
+	if text := h.Get(sched.HeaderDeadline); text != "" {
+		millis, err := strconv.ParseUint(text, 10, 31)
+		if err != nil || millis == 0 {
+			return refusal{code: sched.CodeBadRequest, field: sched.HeaderDeadline}
+		}
+		if d := q.started.Add(time.Duration(millis) * time.Millisecond); d.Before(q.Deadline) {
+			q.Deadline = d
+		}
+	}
+	return checkID(q)
+}
+
+func checkID(q *request) refusal {
+	if q.Unrepeatable {
+		if _, _, err := dedup.ParseID(q.ID); err != nil {
+			return refusal{code: sched.CodeIDMissing}
+		}
+		return refusal{}
+	}
+	if q.ID == "" {
+		u, err := uuid.NewV7()
+		if err != nil {
+			return refusal{code: sched.CodeNotReady}
+		}
+		q.ID = u.String()
+		return refusal{}
+	}
+	if len(q.ID) > maxIDLength {
+		return refusal{code: sched.CodeBadRequest, field: sched.HeaderRequestID}
+	}
+	return refusal{}
+}
+
+func (p *Proxy) readBody(q *request, w http.ResponseWriter, r *http.Request) refusal {
+	limit := p.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return refusal{code: sched.CodeTooLarge}
+	}
+	if r.ContentLength == 0 {
+		return refusal{}
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
+	var err error
+	if r.ContentLength > 0 {
+		q.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(body, q.Body)
+	} else {
+		q.Body, err = io.ReadAll(body)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal{code: sched.CodeTooLarge}
+	case err != nil:
+		return refusal{code: sched.CodeBadRequest, field: "body"}
+	}
+	return refusal{}
+}
+
+// notForwarded are the headers that hold for one connection only, and those
+// that the sender sets itself.
+var notForwarded = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true, sched.HeaderAttempt: true, sched.HeaderRequestID: true,
+	sched.HeaderUnrepeatable: true,
+}
+
+func forwarded(h http.Header) http.Header {
+	f := make(http.Header, len(h))
+	for name, values := range h {
+		if !notForwarded[name] {
+			f[name] = values
+		}
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			f.Del(strings.TrimSpace(name))
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/internal/request/proxy/rig_test.go
@@ -0,0 +1,168 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/conn/pool"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/claims"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/gate"
+	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
+	"github.com/parsleybarrow/parsleybarrow/pkg/admit"
+	"github.com/parsleybarrow/parsleybarrow/pkg/route"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+type realClock struct{}
+
+func (realClock) Now() time.Time { return time.Now() }
+
+func (realClock) Sleep(c context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-c.Done():
+		return c.Err()
+	}
+}
+
+// memoryLog is a log that can be switched off.
+type memoryLog struct {
+	mu      sync.Mutex
+	streams map[string][][]byte
+	down    bool
+}
+
+func (l *memoryLog) Append(_ context.Context, stream string, data []byte) (sched.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, sched.ErrUnavailable
+	}
+	if l.streams == nil {
+		l.streams = map[string][][]byte{}
+	}
+	l.streams[stream] = append(l.streams[stream], data)
+	return sched.Offset(len(l.streams[stream])), nil
+}
+
+func (l *memoryLog) Read(_ context.Context, stream string, from sched.Offset, limit int) (sched.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.streams[stream]
+	p := sched.Page{Earliest: 1, Next: sched.Offset(len(s) + 1)}
+	for n := int(from); n <= len(s) && len(p.Records) < limit; n++ {
+		p.Records = append(p.Records, sched.Record{Offset: sched.Offset(n), Data: s[n-1]})
+	}
+	return p, nil
+}
+
+// backend counts runs per id and can be told how to answer.
+type backend struct {
+	mu     sync.Mutex
+	runs   map[string]int
+	handle http.HandlerFunc
+}
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	b.runs[r.Header.Get(sched.HeaderRequestID)]++
+	h := b.handle
+	b.mu.Unlock()
+	w.Header().Set(sched.HeaderRequestID, r.Header.Get(sched.HeaderRequestID))
+	w.Header().Set(sched.HeaderFreeSlots, "7")
+	if h != nil {
+		h(w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(append([]byte("run "), body...))
+}
+
+// rig is an entry instance with its backend servers on loopback.
+type rig struct {
+	*proxy.Proxy
+	entry    *httptest.Server
+	backends []*backend
+	members  []sched.Member
+	router   *route.Router
+	log      *memoryLog
+}
+
+func newRig(t testing.TB, backends int) *rig {
+	t.Helper()
+	settings := &sched.Settings{
+		Services: []sched.ServiceSettings{
+			{Name: "echo", Urgency: sched.UrgencyUrgent, Timeout: 5 * time.Second, RetryBudget: 0.2},
+		},
+		Partners: []sched.PartnerSettings{{Name: "tunog", Share: 1}},
+		Limits: sched.LimitSettings{
+			QueueRequests: 100, QueueBytes: 1 << 20, DedupWindow: time.Hour, ClockBound: time.Second,
+			UrgencyShares: [4]float64{0, 0.1, 0.3, 0.6},
+		},
+	}
+	clock := realClock{}
+	r := &rig{log: &memoryLog{}, router: &route.Router{Region: "r", DataCentre: "d", Seed: 1}}
+	for n := range backends {
+		b := &backend{runs: map[string]int{}}
+		s := httptest.NewServer(b)
+		t.Cleanup(s.Close)
+		r.backends = append(r.backends, b)
+		r.members = append(r.members, sched.Member{
+			ID: sched.InstanceID(rune('a' + n)), Role: sched.RoleBackend, State: sched.StateLive, Service: "echo",
+			Region: "r", DataCentre: "d", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 8, Connections: 64,
+		})
+	}
+	r.router.Update(r.members, 1, 1<<20)
+	g := gate.New(clock, admit.SharesOf(settings), 1)
+	g.SetCapacity("echo", float64(8*backends), float64(8*backends))
+	nonce := uint64(0)
+	var nonceMu sync.Mutex
+	k := &claims.Keeper{
+		Log: r.log, Clock: clock, Incarnation: 1,
+		Limits: func() claims.Limits { return claims.Limits{Window: time.Hour, ClockBound: time.Second, Instances: 1} },
+		Nonce: func() uint64 {
+			nonceMu.Lock()
+			defer nonceMu.Unlock()
+			nonce++
+			return nonce
+		},
+	}
+	c, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = k.Run(c) }()
+	p := &pool.Pool{Clock: clock, AnswerBuffer: func() int64 { return 64 << 10 }}
+	r.Proxy = &proxy.Proxy{
+		Clock: clock, Settings: func() *sched.Settings { return settings }, Admit: g, Route: r.router,
+		Sender: p, Claims: k, Seed: 1,
+	}
+	r.entry = httptest.NewServer(r)
+	t.Cleanup(func() { r.entry.Close(); p.Close(); cancel(); <-ended })
+	return r
+}
+
+// call sends a request to the entry instance. headers are pairs.
+func (r *rig) call(t testing.TB, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, r.entry.URL+"/services/echo/do?x=1", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set(sched.HeaderPartner, "tunog")
+	for n := 0; n < len(headers); n += 2 {
+		q.Header.Set(headers[n], headers[n+1])
+	}
+	a, err := r.entry.Client().Do(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	return a, string(b), err
+}
--- /dev/null
+++ b/pkg/route/server.go
@@ -0,0 +1,57 @@
+package route
+
+import (
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// knowledgeLife is the age at which a reported number of free slots has lost
+// its weight. Other instances use the same slots, so after a few service times
+// the report says nothing any more.
+const knowledgeLife = 250 * time.Millisecond
+
+// refusedHold is how long a backend server that refused for lack of slots is
+// passed over. It is of the order of one service time.
+const refusedHold = 10 * time.Millisecond
+
+// server is one backend server as this instance sees it.
+type server struct {
+	member sched.Member
+	tier   int
+	// inFlight are this instance's sends that have not ended.
+	inFlight int
+	// free was reported at seen, and sent sends were started since then.
+	free int
+	sent int
+	seen time.Time
+	// leavingIncarnation is the incarnation that said it is leaving, which
+	// overrides a list that still shows it as live.
+	leavingIncarnation sched.Incarnation
+	saidLeaving        bool
+	refusedUntil       time.Time
+}
+
+func (s *server) takesWork() bool {
+	if s.saidLeaving && s.member.Incarnation == s.leavingIncarnation {
+		return false
+	}
+	return s.member.State == sched.StateLive
+}
+
+// estimate returns the expected number of free slots. Without fresh knowledge
+// it is a part of the slots that this instance does not use itself.
+func (s *server) estimate(now time.Time) float64 {
+	prior := float64(s.member.Slots-s.inFlight) / 2
+	age := now.Sub(s.seen)
+	if s.seen.IsZero() || age >= knowledgeLife {
+		return prior
+	}
+	known := float64(s.free - s.sent)
+	w := 1 - float64(age)/float64(knowledgeLife)
+	return known*w + prior*(1-w)
+}
+
+func (s *server) report(free int, now time.Time) {
+	s.free, s.sent, s.seen = free, 0, now
+}
--- a/pkg/sched/code.go
+++ b/pkg/sched/code.go
@@ -12,6 +12,7 @@
 	CodeFailedByBackend   Code = 200
 	CodeUnknown           Code = 300
 	CodeUnknownInProgress Code = 301
+	CodeAnswerNotKept     Code = 302
 	CodeBadRequest        Code = 400
 	CodeUnknownService    Code = 401
 	CodeUnknownPartner    Code = 402
@@ -51,6 +52,7 @@
 		{CodeFailedByBackend, "failedByBackend", 502, "The backend server ran the request and answered with an error."},
 		{CodeUnknown, "unknown", 504, "The request may have run."},
 		{CodeUnknownInProgress, "unknownInProgress", 409, "The same unrepeatable id was sent before and has no recorded outcome."},
+		{CodeAnswerNotKept, "answerNotKept", 409, "The same unrepeatable id was answered before, and its answer is not kept."},
 		{CodeBadRequest, "badRequest", 400, "The request is malformed; the message names the field."},
 		{CodeUnknownService, "unknownService", 404, "The configuration in force has no such service."},
 		{CodeUnknownPartner, "unknownPartner", 403, "The configuration in force has no such partner or team."},
--- a/pkg/sched/request.go
+++ b/pkg/sched/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 )
@@ -48,6 +49,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Rest follows Body in an answer that is larger than the answer buffer, nil
+	// if Body is whole. Reading it fails if the answer is cut short. It must be
+	// closed.
+	Rest io.ReadCloser
 }
 
 // Outcome is how a request ended.
