--- a/internal/request/proxy/rig_test.go
+++ b/internal/request/proxy/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -72,7 +73,6 @@
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	b.runs[r.Header.Get(sched.HeaderRequestID)]++
 	h := b.handle
 	b.mu.Unlock()
 	w.Header().Set(sched.HeaderRequestID, r.Header.Get(sched.HeaderRequestID))
@@ -81,10 +81,17 @@
 		h(w, r)
 		return
 	}
+	b.run(r)
 	body, _ := io.ReadAll(r.Body)
 	_, _ = w.Write(append([]byte("run "), body...))
 }
 
+func (b *backend) run(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[r.Header.Get(sched.HeaderRequestID)]++
+}
+
 // rig is an entry instance with its backend servers on loopback.
 type rig struct {
 	*proxy.Proxy
@@ -93,9 +100,27 @@
 	members  []sched.Member
 	router   *route.Router
 	log      *memoryLog
+	keeper   *claims.Keeper
 }
 
 func newRig(t testing.TB, backends int) *rig {
+	t.Helper()
+	r := &rig{log: &memoryLog{}}
+	for n := range backends {
+		b := &backend{runs: map[string]int{}}
+		s := httptest.NewServer(b)
+		t.Cleanup(s.Close)
+		r.backends = append(r.backends, b)
+		r.members = append(r.members, sched.Member{
+			ID: sched.InstanceID(rune('a' + n)), Role: sched.RoleBackend, State: sched.StateLive, Service: "echo",
+			Region: "r", DataCentre: "d", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 8, Connections: 64,
+		})
+	}
+	return r.another(t)
+}
+
+// another starts an entry instance with the same log and backend servers.
+func (r rig) another(t testing.TB) *rig {
 	t.Helper()
 	settings := &sched.Settings{
 		Services: []sched.ServiceSettings{
@@ -108,43 +133,52 @@
 		},
 	}
 	clock := realClock{}
-	r := &rig{log: &memoryLog{}, router: &route.Router{Region: "r", DataCentre: "d", Seed: 1}}
-	for n := range backends {
-		b := &backend{runs: map[string]int{}}
-		s := httptest.NewServer(b)
-		t.Cleanup(s.Close)
-		r.backends = append(r.backends, b)
-		r.members = append(r.members, sched.Member{
-			ID: sched.InstanceID(rune('a' + n)), Role: sched.RoleBackend, State: sched.StateLive, Service: "echo",
-			Region: "r", DataCentre: "d", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 8, Connections: 64,
-		})
-	}
+	r.router = &route.Router{Region: "r", DataCentre: "d", Seed: 1}
 	r.router.Update(r.members, 1, 1<<20)
 	g := gate.New(clock, admit.SharesOf(settings), 1)
-	g.SetCapacity("echo", float64(8*backends), float64(8*backends))
-	nonce := uint64(0)
-	var nonceMu sync.Mutex
+	slots := float64(8 * len(r.members))
+	g.SetCapacity("echo", slots, slots)
 	k := &claims.Keeper{
 		Log: r.log, Clock: clock, Incarnation: 1,
 		Limits: func() claims.Limits { return claims.Limits{Window: time.Hour, ClockBound: time.Second, Instances: 1} },
-		Nonce: func() uint64 {
-			nonceMu.Lock()
-			defer nonceMu.Unlock()
-			nonce++
-			return nonce
-		},
+		Nonce:  rand.Uint64,
 	}
 	c, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = k.Run(c) }()
 	p := &pool.Pool{Clock: clock, AnswerBuffer: func() int64 { return 64 << 10 }}
+	r.keeper = k
 	r.Proxy = &proxy.Proxy{
 		Clock: clock, Settings: func() *sched.Settings { return settings }, Admit: g, Route: r.router,
 		Sender: p, Claims: k, Seed: 1,
 	}
-	r.entry = httptest.NewServer(r)
+	r.entry = httptest.NewServer(r.Proxy)
 	t.Cleanup(func() { r.entry.Close(); p.Close(); cancel(); <-ended })
-	return r
+	return &r
+}
+
+// set changes how the backend servers answer.
+func (r *rig) set(handlers ...http.HandlerFunc) {
+	for n, h := range handlers {
+		r.backends[n].mu.Lock()
+		r.backends[n].handle = h
+		r.backends[n].mu.Unlock()
+	}
+}
+
+// ran returns the number of runs of an id, or of all ids if it is empty.
+func (r *rig) ran(id string) int {
+	sum := 0
+	for _, b := range r.backends {
+		b.mu.Lock()
+		for i, n := range b.runs {
+			if id == "" || i == id {
+				sum += n
+			}
+		}
+		b.mu.Unlock()
+	}
+	return sum
 }
 
 // call sends a request to the entry instance. headers are pairs.
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -27,19 +27,15 @@
 func (p *Proxy) send(c context.Context, q *request) end {
 	var tried []sched.InstanceID
 	mayHaveRun := false
-	code := sched.CodeNoBackend
 	picks := 0
 	for sends := 0; ; {
 		pick, none := p.Route.Pick(route.Query{
 			Service: q.Service, Urgency: q.Urgency, RequestBytes: int64(len(q.Body)) + headBytes, Tried: tried,
 		}, p.Clock.Now())
 		if pick == nil {
-			if sends == 0 || none != sched.CodeNoBackend {
-				code = none
-			}
 			picks++
 			if none == sched.CodeNoBackend || picks > maxPicks || !p.pause(c, q, picks) {
-				return giveUp(mayHaveRun, code)
+				return giveUp(mayHaveRun, none)
 			}
 			// A server that refused or failed once may be the only one left.
 			tried = nil
@@ -55,10 +51,9 @@
 		closeRest(r)
 		p.Route.Done(pick, r, int64(len(q.Body))+headBytes, p.Clock.Now())
 		mayHaveRun = mayHaveRun || r.Outcome == sched.OutcomeUnknown
-		code = sched.CodeOverloaded
 		tried = append(tried, pick.Member.ID)
 		if !p.mayResend(c, q, r, sends) {
-			return giveUp(mayHaveRun, code)
+			return giveUp(mayHaveRun, sched.CodeOverloaded)
 		}
 	}
 }
