Add stand-ins for log, list and workers

Change: logsvc, roster and worker implement sched.Log, sched.Roster and sched.Workers; each has an HTTP handler. Workers settle lazily on the injected clock, and an observer of their own counts starts, double runs, double resumes and commitments. pjson maps the calls to JSON.

--- /dev/null
+++ b/internal/standin/logsvc/handler.go
@@ -0,0 +1,97 @@
+package logsvc
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/wire/pjson"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// maxRecord bounds one record, in bytes.
+const maxRecord = 8 << 20
+
+// maxPage bounds the data of one page, in bytes; the rest is left for the next
+// read.
+const maxPage = 4 << 20
+
+// Handler serves a log over HTTP:
+//
+//	POST /log/append?stream=NAME            the body is the record
+//	GET  /log/read?stream=NAME&from=N&limit=N
+//
+// A lost answer closes the connection without an answer.
+func Handler(log sched.Log) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log/append", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecord))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		o, err := log.Append(r.Context(), r.URL.Query().Get("stream"), data)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		body, err := pjson.EncodeOffset(o)
+		reply(w, http.StatusOK, body, err)
+	})
+	mux.HandleFunc("GET /log/read", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		from, err1 := strconv.ParseInt(q.Get("from"), 10, 64)
+		limit, err2 := strconv.Atoi(q.Get("limit"))
+		if err := errors.Join(err1, err2); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p, err := log.Read(r.Context(), q.Get("stream"), sched.Offset(from), limit)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		body, err := pjson.EncodePage(bounded(p))
+		reply(w, http.StatusOK, body, err)
+	})
+	return mux
+}
+
+// bounded cuts a page to maxPage bytes, but never to nothing.
+func bounded(p sched.Page) sched.Page {
+	size := 0
+	for n, r := range p.Records {
+		size += len(r.Data)
+		if size > maxPage && n > 0 {
+			p.Records = p.Records[:n]
+			break
+		}
+	}
+	return p
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	var trimmed *sched.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		body, err := pjson.EncodeRefusal(pjson.Refusal{Code: pjson.RefusalTrimmed, Earliest: trimmed.Earliest})
+		reply(w, http.StatusGone, body, err)
+	case errors.Is(err, sched.ErrUnavailable):
+		body, err := pjson.EncodeRefusal(pjson.Refusal{Code: pjson.RefusalUnavailable})
+		reply(w, http.StatusServiceUnavailable, body, err)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body []byte, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/standin/worker/attempt.go
@@ -0,0 +1,213 @@
+package worker
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Reasons in reports of attempts. A failure has the same reason whether the
+// worker or the task is at fault, as on a real worker.
+const (
+	ReasonExit         = "exit status 1"
+	ReasonNoResources  = "insufficient resources, not started"
+	ReasonNoCheckpoint = "checkpoint not found, not started"
+)
+
+// apply executes a call at w.now. A call of an old term or past its notAfter
+// does nothing.
+func (w *Worker) apply(call sched.WorkerCall) {
+	if w.pool.config.CheckTokens && call.Term < w.term {
+		return
+	}
+	if !call.NotAfter.After(w.now.Add(w.offset)) {
+		return
+	}
+	w.term = max(w.term, call.Term)
+	if call.NotAfter.After(w.leaseUntil) {
+		w.leaseUntil = call.NotAfter
+	}
+	for _, c := range call.Commands {
+		if act, ok := actions[c.Kind]; ok {
+			act(w, c)
+			w.startWaiting()
+		}
+	}
+}
+
+var actions = map[sched.CommandKind]func(*Worker, sched.Command){
+	sched.CommandStart:      (*Worker).commandStart,
+	sched.CommandBind:       (*Worker).commandBind,
+	sched.CommandStop:       (*Worker).commandStop,
+	sched.CommandCheckpoint: (*Worker).commandCheckpoint,
+	sched.CommandThrottle:   (*Worker).commandThrottle,
+	sched.CommandForget:     (*Worker).commandForget,
+}
+
+func keyOf(c sched.Command) attemptKey { return attemptKey{c.Task, c.Attempt} }
+
+// know returns the attempt of a command and whether the worker knew it before.
+func (w *Worker) know(c sched.Command) (*attempt, bool) {
+	a, known := w.attempts[keyOf(c)]
+	if !known {
+		a = &attempt{attemptKey: keyOf(c), command: c, share: 1}
+		w.attempts[a.attemptKey] = a
+	}
+	return a, known
+}
+
+func (w *Worker) commandStart(c sched.Command) {
+	a, known := w.know(c)
+	if known && a.state != sched.AttemptWaiting {
+		return
+	}
+	if !w.fits(c.Needs) {
+		w.end(a, sched.AttemptStopped, ReasonNoResources)
+		return
+	}
+	a.command = c
+	w.start(a)
+}
+
+func (w *Worker) commandBind(c sched.Command) {
+	a, known := w.know(c)
+	if known {
+		return
+	}
+	if !c.Needs.Fits(w.member.Capacity) {
+		w.end(a, sched.AttemptStopped, ReasonNoResources)
+		return
+	}
+	a.state = sched.AttemptWaiting
+	w.waiting = append(w.waiting, a.attemptKey)
+}
+
+func (w *Worker) commandStop(c sched.Command) {
+	a, _ := w.know(c)
+	if !a.state.Ended() {
+		w.end(a, sched.AttemptStopped, "")
+	}
+}
+
+func (w *Worker) commandCheckpoint(c sched.Command) {
+	a, _ := w.know(c)
+	switch {
+	case a.state == sched.AttemptRunning:
+		a.advance(w.now)
+		a.checkpoint = w.pool.writeCheckpoint(a.attemptKey, a.progress)
+		w.end(a, sched.AttemptCheckpointed, "")
+	case !a.state.Ended():
+		w.end(a, sched.AttemptStopped, "")
+	}
+}
+
+func (w *Worker) commandThrottle(c sched.Command) {
+	if a, ok := w.attempts[keyOf(c)]; ok && !a.state.Ended() {
+		a.advance(w.now)
+		a.share = min(max(c.Share, 0), 1)
+	}
+}
+
+func (w *Worker) commandForget(c sched.Command) {
+	if a, ok := w.attempts[keyOf(c)]; ok && a.state.Ended() {
+		delete(w.attempts, a.attemptKey)
+	}
+}
+
+func (w *Worker) fits(r sched.Resources) bool {
+	return (sched.Resources{}).Fits(r) && w.used.Plus(r).Fits(w.member.Capacity)
+}
+
+// startWaiting starts bound attempts in order of arrival while the first of
+// them fits.
+func (w *Worker) startWaiting() {
+	for len(w.waiting) > 0 {
+		a := w.attempts[w.waiting[0]]
+		if !w.fits(a.command.Needs) {
+			return
+		}
+		w.start(a)
+	}
+}
+
+func (w *Worker) start(a *attempt) {
+	w.dropWaiting(a.attemptKey)
+	c := a.command
+	if c.Checkpoint != "" {
+		progress, ok := w.pool.readCheckpoint(c.Checkpoint)
+		if !ok {
+			w.end(a, sched.AttemptStopped, ReasonNoCheckpoint)
+			return
+		}
+		a.progress = progress
+	}
+	a.state = sched.AttemptRunning
+	a.work = w.pool.config.Truth(a.task, c.TaskKind)
+	a.fails = a.work.Fails || w.faults.FailAll
+	a.since = w.now
+	w.used = w.used.Plus(c.Needs)
+	w.pool.observer.started(w.member, a.attemptKey, c.Checkpoint, w.now)
+	w.pool.observer.committed(w.member, w.used)
+}
+
+// end moves an attempt to a state in which it never runs again.
+func (w *Worker) end(a *attempt, s sched.AttemptState, reason string) {
+	if a.state == sched.AttemptRunning {
+		a.advance(w.now)
+		w.used = w.used.Minus(a.command.Needs)
+		w.pool.observer.ended(w.member.ID, a.attemptKey, s, w.now)
+	}
+	w.dropWaiting(a.attemptKey)
+	a.state, a.reason = s, reason
+}
+
+func (w *Worker) finish(a *attempt) {
+	if a.fails {
+		w.end(a, sched.AttemptFailed, ReasonExit)
+		return
+	}
+	w.end(a, sched.AttemptDone, "")
+}
+
+func (w *Worker) dropWaiting(k attemptKey) {
+	if n := slices.Index(w.waiting, k); n >= 0 {
+		w.waiting = slices.Delete(w.waiting, n, n+1)
+	}
+}
+
+// advance brings the attempt's progress to the given time.
+func (a *attempt) advance(now time.Time) {
+	if a.state == sched.AttemptRunning {
+		a.progress += time.Duration(float64(now.Sub(a.since)) * a.share)
+		a.since = now
+	}
+}
+
+// endsAt returns when the attempt ends by itself, and false if it never does.
+func (a *attempt) endsAt() (time.Time, bool) {
+	if a.state != sched.AttemptRunning || a.share <= 0 {
+		return time.Time{}, false
+	}
+	if a.fails {
+		return a.since.Add(min(failAfter, a.work.RunTime)), true
+	}
+	rest := max(0, a.work.RunTime-a.progress)
+	return a.since.Add(time.Duration(float64(rest) / a.share)), true
+}
+
+func (p *Pool) writeCheckpoint(k attemptKey, progress time.Duration) sched.CheckpointID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := sched.CheckpointID(fmt.Sprintf("checkpoint-%d-%s-%d", len(p.checkpoints)+1, k.task, k.attempt))
+	p.checkpoints[id] = progress
+	return id
+}
+
+func (p *Pool) readCheckpoint(id sched.CheckpointID) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	progress, ok := p.checkpoints[id]
+	return progress, ok
+}
