--- /dev/null
+++ b/internal/bench/batch/control.go
@@ -0,0 +1,121 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Submit gives a task to one of the hosts.
+func (s *Sim) Submit(i int, t sched.Task) {
+	h := s.hosts[i%len(s.hosts)]
+	h.deliver(func() plan.Input {
+		h.ticket++
+		h.tickets[h.ticket] = t.ID
+		return plan.Submitted{Ticket: h.ticket, Task: t.WithSubmittedAt(s.now)}
+	})
+}
+
+// Cancel asks one of the hosts to withdraw a task.
+func (s *Sim) Cancel(i int, t sched.TaskID) {
+	h := s.hosts[i%len(s.hosts)]
+	h.deliver(func() plan.Input { return plan.CancelRequested{Task: t} })
+}
+
+// CrashHost ends a planner's process; calls under way go on.
+func (s *Sim) CrashHost(i int) {
+	if h := s.hosts[i]; !h.down {
+		h.leave()
+		h.down = true
+		h.incarnation++
+	}
+}
+
+// RestartHost starts a crashed planner with nothing but its settings.
+func (s *Sim) RestartHost(i int) {
+	if h := s.hosts[i]; h.down {
+		h.boot()
+		h.tick(h.incarnation)
+	}
+}
+
+// PauseHost stops a planner for d; then it goes on as if nothing had happened.
+func (s *Sim) PauseHost(i int, d time.Duration) {
+	h := s.hosts[i]
+	h.leave()
+	if until := s.now.Add(d); until.After(h.pausedUntil) {
+		h.pausedUntil = until
+	}
+}
+
+// CutHost separates a planner from everything but the workers.
+func (s *Sim) CutHost(i int, cut bool) {
+	h := s.hosts[i]
+	if cut {
+		h.leave()
+	}
+	h.cut = cut
+}
+
+// leave notes when a host left the list.
+func (h *host) leave() {
+	if !h.isAway() {
+		h.away = h.sim.now
+	}
+}
+
+// MisleadHost sets what a planner believes of its role; nil ends that.
+func (s *Sim) MisleadHost(i int, responsible *bool) { s.hosts[i].misled = responsible }
+
+// CrashWorker ends everything on a worker.
+func (s *Sim) CrashWorker(i int) { s.order[i].crash() }
+
+// RestartWorker brings a crashed worker back without memory.
+func (s *Sim) RestartWorker(i int) {
+	if w := s.order[i]; !w.up {
+		w.busyFrom = s.now
+		w.restart()
+	}
+}
+
+// PartitionWorker separates a worker from a planner.
+func (s *Sim) PartitionWorker(i, host int, cut bool) { s.order[i].partitioned[host] = cut }
+
+// FailWorker makes everything fail that a worker starts from now on.
+func (s *Sim) FailWorker(i int, failing bool) { s.order[i].failing = failing }
+
+// Heal ends all faults.
+func (s *Sim) Heal() {
+	s.Faults, s.LogDown, s.LogDelay = Faults{}, false, 0
+	for i, h := range s.hosts {
+		h.cut, h.misled, h.pausedUntil = false, nil, s.now
+		s.RestartHost(i)
+	}
+	for i, w := range s.order {
+		clear(w.partitioned)
+		s.RestartWorker(i)
+	}
+}
+
+// Planners returns the planners that run.
+func (s *Sim) Planners() []*plan.Planner {
+	var all []*plan.Planner
+	for _, h := range s.hosts {
+		if !h.down {
+			all = append(all, h.planner)
+		}
+	}
+	return slices.Clip(all)
+}
+
+// Busy returns the processor time that tasks held on all workers.
+func (s *Sim) Busy() time.Duration {
+	total := 0.0
+	for _, w := range s.order {
+		w.account()
+		total += w.busy / 1000
+	}
+	return time.Duration(total)
+}
--- /dev/null
+++ b/internal/bench/batch/sim.go
@@ -0,0 +1,230 @@
+package batch
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Faults are the probabilities of faults per message, and delays.
+type Faults struct {
+	LoseCall   float64
+	LoseAnswer float64
+	// DuplicateCall applies a call a second time, up to MaxDelay later.
+	DuplicateCall float64
+	// DelayCall applies a call up to MaxDelay later; its answer is lost.
+	DelayCall float64
+	MaxDelay  time.Duration
+	// LoseAck loses the acknowledgement of an append that took effect.
+	LoseAck float64
+	// LateAppend reports an append as uncertain and adds the record later.
+	LateAppend float64
+}
+
+// Config describes a simulated data centre.
+type Config struct {
+	Seed     uint64
+	Planners int
+	Workers  []sched.Member
+	Settings *sched.Settings
+	// Truth tells how a task behaves on a worker.
+	Truth func(t sched.TaskID, kind string, worker sched.InstanceID) Work
+	// Options changes the options of a planner before it starts; may be nil.
+	Options func(o *plan.Options)
+	// Offset is the largest distance of a clock from the true time, half of
+	// the clock error bound.
+	Offset time.Duration
+	// CheckTokens makes workers refuse lower terms.
+	CheckTokens bool
+	// Latency is that of every message, 2 ms if 0.
+	Latency time.Duration
+	// Retain is the number of records that the log holds, all if 0.
+	Retain int
+	// Tick is the planners' period, 100 ms if 0.
+	Tick time.Duration
+}
+
+// Work is how a task really behaves.
+type Work struct {
+	RunTime time.Duration
+	Fails   bool
+}
+
+// Sim is a simulation. It runs in the caller's goroutine.
+type Sim struct {
+	config Config
+	random *rand.Rand
+	now    time.Time
+	queue  events
+	count  uint64
+
+	// Faults may be changed between calls of Run.
+	Faults Faults
+	// LogDown makes the log refuse everything.
+	LogDown bool
+	// LogDelay is added to the time of every append and read.
+	LogDelay time.Duration
+
+	log     []sched.Record
+	trimmed int
+	judge   *ledger.Ledger // the reference replay
+
+	hosts       []*host
+	workers     map[sched.InstanceID]*worker
+	order       []*worker
+	checkpoints map[sched.CheckpointID]time.Duration
+
+	// Observer counts what happened at the workers.
+	Observer *Observer
+	// Accepted holds the tasks whose submission was answered with accepted.
+	Accepted map[sched.TaskID]bool
+	// Replies counts the answers to submissions and cancellations by code.
+	Replies map[sched.Code]int
+	// Appends and AppendBytes count what reached the log.
+	Appends     int
+	AppendBytes int
+}
+
+// start is the begin of virtual time.
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// New returns a simulation whose planners are running.
+func New(c Config) *Sim {
+	if c.Latency == 0 {
+		c.Latency = 2 * time.Millisecond
+	}
+	if c.Tick == 0 {
+		c.Tick = 100 * time.Millisecond
+	}
+	s := &Sim{
+		config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), now: start,
+		judge: ledger.New(), workers: map[sched.InstanceID]*worker{},
+		checkpoints: map[sched.CheckpointID]time.Duration{},
+		Observer:    newObserver(), Accepted: map[sched.TaskID]bool{}, Replies: map[sched.Code]int{},
+	}
+	for _, m := range c.Workers {
+		w := newWorker(s, m)
+		s.workers[m.ID] = w
+		s.order = append(s.order, w)
+	}
+	for i := range c.Planners {
+		s.hosts = append(s.hosts, newHost(s, i))
+	}
+	return s
+}
+
+// Now returns the virtual time.
+func (s *Sim) Now() time.Time { return s.now }
+
+// Random returns the simulation's source, for scenarios.
+func (s *Sim) Random() *rand.Rand { return s.random }
+
+// Ledger returns a replay of everything that was appended.
+func (s *Sim) Ledger() *ledger.Ledger { return s.judge }
+
+// Run lets virtual time pass.
+func (s *Sim) Run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// After calls f after d.
+func (s *Sim) After(d time.Duration, f func()) {
+	s.count++
+	heap.Push(&s.queue, event{s.now.Add(d), s.count, f})
+}
+
+// chance draws an event of the given probability.
+func (s *Sim) chance(p float64) bool { return p > 0 && s.random.Float64() < p }
+
+// delay draws a delay of a late message.
+func (s *Sim) delay() time.Duration {
+	return time.Duration(s.random.Int64N(int64(s.Faults.MaxDelay) + 1))
+}
+
+func (s *Sim) offset() time.Duration {
+	if s.config.Offset == 0 {
+		return 0
+	}
+	return time.Duration(s.random.Int64N(2*int64(s.config.Offset)+1)) - s.config.Offset
+}
+
+// add appends a record and replays it in the reference.
+func (s *Sim) add(data []byte) {
+	at := sched.Offset(len(s.log) + 1)
+	s.log = append(s.log, sched.Record{Offset: at, Data: data})
+	s.Appends++
+	s.AppendBytes += len(data)
+	if s.config.Retain > 0 {
+		s.trimmed = max(s.trimmed, len(s.log)-s.config.Retain)
+	}
+	r, err := codec.DecodeTaskRecord(data)
+	if err != nil {
+		panic(err)
+	}
+	changes, err := s.judge.Apply(at, &r)
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range changes {
+		s.Observer.recorded(s, c)
+	}
+}
+
+// read returns a page, or false if the first record is trimmed.
+func (s *Sim) read(from sched.Offset) (sched.Page, bool) {
+	p := sched.Page{Earliest: sched.Offset(s.trimmed + 1), Next: sched.Offset(len(s.log) + 1)}
+	if from < p.Earliest {
+		return p, false
+	}
+	const pageRecords = 1000
+	end := min(int(from)-1+pageRecords, len(s.log))
+	if int(from)-1 < end {
+		p.Records = s.log[from-1 : end]
+	}
+	return p, true
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+// Len implements heap.Interface.
+func (e events) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+
+// Swap implements heap.Interface.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(v any) { *e = append(*e, v.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	o := *e
+	v := o[len(o)-1]
+	o[len(o)-1] = event{}
+	*e = o[:len(o)-1]
+	return v
+}
--- /dev/null
+++ b/internal/bench/batch/worker.go
@@ -0,0 +1,268 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+type attemptKey struct {
+	task    sched.TaskID
+	attempt sched.Attempt
+}
+
+type attempt struct {
+	command    sched.Command
+	state      sched.AttemptState
+	work       Work
+	before     time.Duration // progress of the checkpoint
+	began      time.Time
+	progress   time.Duration // at the end
+	checkpoint sched.CheckpointID
+	reason     string
+}
+
+// worker executes calls and runs tasks in virtual time.
+type worker struct {
+	sim    *Sim
+	member sched.Member
+	offset time.Duration
+	up     bool
+	// failing makes every task fail.
+	failing     bool
+	partitioned map[int]bool
+	boot        uint64
+	term        sched.Offset
+	lease       time.Time // by the own clock
+	attempts    map[attemptKey]*attempt
+	waiting     []attemptKey
+	used        sched.Resources
+	// busy integrates processors over time, in thousandths times nanoseconds.
+	busy     float64
+	busyFrom time.Time
+}
+
+func newWorker(s *Sim, m sched.Member) *worker {
+	w := &worker{sim: s, member: m, partitioned: map[int]bool{}, busyFrom: s.now}
+	w.restart()
+	return w
+}
+
+func (w *worker) restart() {
+	w.up, w.boot = true, w.boot+1
+	w.offset = w.sim.offset()
+	w.term, w.lease = 0, time.Time{}
+	w.attempts = map[attemptKey]*attempt{}
+	w.waiting, w.used = nil, sched.Resources{}
+}
+
+func (w *worker) crash() {
+	if !w.up {
+		return
+	}
+	w.account()
+	for k, a := range w.attempts {
+		if a.state == sched.AttemptRunning {
+			w.sim.Observer.ended(k, w.member.ID)
+		}
+	}
+	w.up = false
+	w.used = sched.Resources{}
+}
+
+// account adds up the time in which processors were held.
+func (w *worker) account() {
+	w.busy += float64(w.used.Processors) * float64(w.sim.now.Sub(w.busyFrom))
+	w.busyFrom = w.sim.now
+}
+
+func (w *worker) clock() time.Time { return w.sim.now.Add(w.offset) }
+
+// receive executes a call and returns the report.
+func (w *worker) receive(c sched.WorkerCall) (sched.WorkerReport, bool) {
+	if !w.up {
+		return sched.WorkerReport{}, false
+	}
+	w.lapse()
+	if c.NotAfter.After(w.clock()) && (!w.sim.config.CheckTokens || c.Term >= w.term) {
+		w.term = max(w.term, c.Term)
+		if c.NotAfter.After(w.lease) {
+			w.lease = c.NotAfter
+			w.watchLease()
+		}
+		for _, k := range c.Commands {
+			w.execute(k)
+		}
+	}
+	return w.report(), true
+}
+
+// watchLease stops everything when the lease runs out.
+func (w *worker) watchLease() {
+	boot := w.boot
+	until := w.lease
+	w.sim.After(until.Sub(w.clock()), func() {
+		if w.up && w.boot == boot {
+			w.lapse()
+		}
+	})
+}
+
+func (w *worker) lapse() {
+	if w.clock().Before(w.lease) {
+		return
+	}
+	for _, k := range w.keys() {
+		if a := w.attempts[k]; !a.state.Ended() {
+			w.end(k, a, sched.AttemptLapsed, "the lease ran out")
+		}
+	}
+}
+
+func (w *worker) keys() []attemptKey {
+	keys := make([]attemptKey, 0, len(w.attempts))
+	for k := range w.attempts {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b attemptKey) int {
+		if a.task != b.task {
+			if a.task < b.task {
+				return -1
+			}
+			return 1
+		}
+		return int(a.attempt - b.attempt)
+	})
+	return keys
+}
+
+func (w *worker) execute(c sched.Command) {
+	k := attemptKey{c.Task, c.Attempt}
+	a := w.attempts[k]
+	switch c.Kind {
+	case sched.CommandForget:
+		if a != nil && a.state.Ended() {
+			delete(w.attempts, k)
+		}
+		return
+	case sched.CommandThrottle:
+		return
+	default:
+	}
+	fresh := a == nil
+	if fresh {
+		a = &attempt{command: c}
+		w.attempts[k] = a
+	}
+	switch c.Kind {
+	case sched.CommandStart:
+		if fresh && !w.fits(c.Needs) {
+			a.state, a.reason = sched.AttemptStopped, "no room"
+		} else if fresh {
+			w.start(k, a)
+		}
+	case sched.CommandBind:
+		if fresh {
+			a.state = sched.AttemptWaiting
+			w.waiting = append(w.waiting, k)
+		}
+	case sched.CommandCheckpoint:
+		if a.state == sched.AttemptRunning {
+			a.checkpoint = sched.CheckpointID(fmt.Sprintf("%s-%d-%d", k.task, k.attempt, len(w.sim.checkpoints)))
+			w.sim.checkpoints[a.checkpoint] = w.progress(a)
+			w.end(k, a, sched.AttemptCheckpointed, "")
+		} else if !a.state.Ended() {
+			w.end(k, a, sched.AttemptStopped, "")
+		}
+	case sched.CommandStop:
+		if !a.state.Ended() {
+			w.end(k, a, sched.AttemptStopped, "")
+		}
+	default:
+	}
+	w.startWaiting()
+}
+
+func (w *worker) fits(r sched.Resources) bool { return w.used.Plus(r).Fits(w.member.Capacity) }
+
+func (w *worker) startWaiting() {
+	for len(w.waiting) > 0 {
+		k := w.waiting[0]
+		a := w.attempts[k]
+		if !w.fits(a.command.Needs) {
+			return
+		}
+		w.waiting = w.waiting[1:]
+		w.start(k, a)
+	}
+}
+
+// failAfter is the run time of a task that fails.
+const failAfter = 200 * time.Millisecond
+
+func (w *worker) start(k attemptKey, a *attempt) {
+	w.account()
+	a.state, a.began = sched.AttemptRunning, w.sim.now
+	a.before = w.sim.checkpoints[a.command.Checkpoint]
+	a.work = w.sim.config.Truth(k.task, a.command.TaskKind, w.member.ID)
+	a.work.Fails = a.work.Fails || w.failing
+	w.used = w.used.Plus(a.command.Needs)
+	w.sim.Observer.started(w, k, a.command.Checkpoint)
+	left := max(0, a.work.RunTime-a.before)
+	if a.work.Fails {
+		left = min(left, failAfter)
+	}
+	boot := w.boot
+	w.sim.After(left, func() {
+		if !w.up || w.boot != boot || w.attempts[k] != a || a.state != sched.AttemptRunning {
+			return
+		}
+		w.lapse()
+		if a.state != sched.AttemptRunning {
+			return
+		}
+		if a.work.Fails {
+			w.end(k, a, sched.AttemptFailed, "exit status 1")
+		} else {
+			w.sim.Observer.finished(k.task)
+			w.end(k, a, sched.AttemptDone, "")
+		}
+		w.startWaiting()
+	})
+}
+
+func (w *worker) progress(a *attempt) time.Duration { return a.before + w.sim.now.Sub(a.began) }
+
+// end moves an attempt to a state in which it never runs again.
+func (w *worker) end(k attemptKey, a *attempt, s sched.AttemptState, reason string) {
+	if a.state == sched.AttemptRunning {
+		w.account()
+		a.progress = w.progress(a)
+		w.used = w.used.Minus(a.command.Needs)
+		w.sim.Observer.ended(k, w.member.ID)
+	}
+	if i := slices.Index(w.waiting, k); i >= 0 {
+		w.waiting = slices.Delete(w.waiting, i, i+1)
+	}
+	a.state, a.reason = s, reason
+}
+
+func (w *worker) report() sched.WorkerReport {
+	r := sched.WorkerReport{
+		Worker: w.member.ID, Boot: w.boot, Term: w.term, LeaseUntil: w.lease, MeasuredAt: w.clock(),
+	}
+	for _, k := range w.keys() {
+		a := w.attempts[k]
+		progress := a.progress
+		if a.state == sched.AttemptRunning {
+			progress = w.progress(a)
+		}
+		r.Attempts = append(r.Attempts, sched.AttemptReport{
+			Task: k.task, Attempt: k.attempt, State: a.state, Checkpoint: a.checkpoint,
+			Progress: progress, Usage: a.command.Needs, Reason: a.reason,
+		})
+	}
+	return r
+}
--- a/pkg/codec/image.go
+++ b/pkg/codec/image.go
@@ -72,7 +72,7 @@
 		Attempt: int64(s.Attempt), Worker: string(s.Worker), Term: int64(s.Term),
 		Started: s.Started, CancelRequested: s.CancelRequested, Checkpoint: string(s.Checkpoint),
 		Progress: int64(s.Progress), Evictions: int64(s.Evictions), Failures: int64(s.Failures),
-		Reason: s.Reason,
+		Reason: s.Reason, CheckpointOf: int64(s.CheckpointOf),
 	}
 }
 
@@ -85,6 +85,7 @@
 		Checkpoint: sched.CheckpointID(m.GetCheckpoint()),
 		Progress:   time.Duration(m.GetProgress()), Evictions: int(m.GetEvictions()),
 		Failures: int(m.GetFailures()), Reason: m.GetReason(),
+		CheckpointOf: sched.Attempt(m.GetCheckpointOf()),
 	}
 }
 
--- a/pkg/lease/book.go
+++ b/pkg/lease/book.go
@@ -199,3 +199,12 @@
 		delete(b.latest, worker)
 	}
 }
+
+// Open returns the earlier terms that may still be in use, in no certain order.
+func (b *Book) Open() []sched.Offset {
+	open := make([]sched.Offset, 0, len(b.earlier))
+	for t := range b.earlier {
+		open = append(open, t)
+	}
+	return open
+}
--- a/pkg/ledger/image.go
+++ b/pkg/ledger/image.go
@@ -91,6 +91,7 @@
 	}
 	if t.State == sched.TaskBound {
 		w.Bound = w.Bound.Plus(t.Task.Needs)
+		w.Waiting++
 	} else {
 		w.Committed = w.Committed.Plus(t.Task.Needs)
 	}
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -17,8 +17,10 @@
 	sched.WorkerStatus
 	// Committed is held by tasks that run or may run.
 	Committed sched.Resources
-	// Bound is needed by tasks that are bound ahead and were not seen to run.
-	Bound sched.Resources
+	// Bound is needed by tasks that are bound ahead and were not seen to run,
+	// and Waiting is their number.
+	Bound   sched.Resources
+	Waiting int
 }
 
 // Free returns what a direct placement may take. Room for bound tasks is left
@@ -35,8 +37,10 @@
 	// Worker is nil for entries that concern no worker, and after the removal
 	// of a worker.
 	Worker *Worker
-	// Attempt is the attempt that the entry names.
+	// Attempt is the attempt that the entry concerns.
 	Attempt sched.Attempt
+	// Result is set for EntryEnded.
+	Result sched.AttemptState
 }
 
 type usageKey struct {
@@ -91,11 +95,7 @@
 // snapshot after which it has read every record. The changes that lead to the
 // state of the snapshot are not reported.
 func (l *Ledger) Apply(at sched.Offset, r *sched.TaskRecord) ([]Change, error) {
-	if l.first == 0 {
-		l.first = at
-		l.applied = at - 1
-		l.ready = at == 1
-	}
+	l.Start(at)
 	if at != l.applied+1 {
 		return nil, fmt.Errorf("task record %d follows record %d", at, l.applied)
 	}
@@ -113,6 +113,18 @@
 	return nil, nil
 }
 
+// Start fixes the offset from which the stream is read. A ledger that starts
+// at offset 1 is complete from the beginning. Without a call, the first record
+// decides.
+func (l *Ledger) Start(from sched.Offset) {
+	if l.first != 0 {
+		return
+	}
+	l.first = from
+	l.applied = from - 1
+	l.ready = from == 1
+}
+
 // usable returns the snapshot of a record, if all records after it were read.
 func usable(r *sched.TaskRecord, first sched.Offset) *sched.TaskImage {
 	for k := range r.Entries {
--- a/pkg/ledger/rules.go
+++ b/pkg/ledger/rules.go
@@ -113,6 +113,7 @@
 	if e.Ahead {
 		t.State = sched.TaskBound
 		w.Bound = w.Bound.Plus(needs)
+		w.Waiting++
 	} else {
 		w.Committed = w.Committed.Plus(needs)
 	}
@@ -152,6 +153,7 @@
 			return
 		}
 		w.Bound = w.Bound.Minus(needs)
+		w.Waiting--
 		w.Committed = w.Committed.Plus(needs)
 		t.State = sched.TaskPlaced
 	}
@@ -168,10 +170,13 @@
 	if !e.Result.Ended() || e.Result > sched.AttemptLapsed {
 		return
 	}
-	w := l.release(t)
+	// An attempt that the worker stopped before it ran has not used its
+	// checkpoint.
+	unused := e.Result == sched.AttemptStopped && !t.Started && e.RunTime < t.Progress
+	w := l.release(t, unused)
 	switch {
 	case e.Result == sched.AttemptDone:
-		t.Progress = max(e.RunTime, t.Progress)
+		t.Progress = max(e.RunTime, 0)
 		l.count(t, now)
 		l.finish(t, sched.TaskDone, e.Reason)
 	case t.CancelRequested:
@@ -184,6 +189,7 @@
 	}
 	t.Started = false
 	l.changed(e.Kind, t, w, e.Attempt)
+	l.changes[len(l.changes)-1].Result = e.Result
 }
 
 // countEnd counts failures and evictions. An attempt that the worker lost
@@ -218,10 +224,10 @@
 	if t == nil || Final(t.State) || e.Attempt != t.Attempt || e.Attempt == 0 || e.Checkpoint == "" {
 		return
 	}
-	if e.Checkpoint == t.Checkpoint || e.RunTime < t.Progress {
+	if e.Checkpoint == t.Checkpoint || e.RunTime < 0 {
 		return
 	}
-	t.Checkpoint, t.Progress = e.Checkpoint, e.RunTime
+	t.Checkpoint, t.CheckpointOf, t.Progress = e.Checkpoint, e.Attempt, e.RunTime
 	l.changed(e.Kind, t, l.workers[t.Worker], e.Attempt)
 }
 
@@ -235,7 +241,7 @@
 }
 
 func (l *Ledger) expire(t *sched.TaskStatus) {
-	w := l.release(t)
+	w := l.release(t, false)
 	t.Started = false
 	if t.CancelRequested {
 		l.finish(t, sched.TaskCancelled, t.Reason)
@@ -295,12 +301,20 @@
 	l.changed(e.Kind, nil, nil, 0)
 }
 
-// release returns what the latest attempt holds and queues the task.
-func (l *Ledger) release(t *sched.TaskStatus) *Worker {
+// release returns what the latest attempt holds and queues the task. The
+// checkpoint stays if this attempt wrote it or has not used it.
+func (l *Ledger) release(t *sched.TaskStatus, unused bool) *Worker {
+	if unused && t.Checkpoint != "" {
+		t.CheckpointOf = t.Attempt
+	}
+	if t.CheckpointOf != t.Attempt {
+		t.Checkpoint, t.CheckpointOf, t.Progress = "", 0, 0
+	}
 	w := l.workers[t.Worker]
 	needs := t.Task.Needs
 	if t.State == sched.TaskBound {
 		w.Bound = w.Bound.Minus(needs)
+		w.Waiting--
 	} else {
 		w.Committed = w.Committed.Minus(needs)
 	}
--- a/pkg/place/index.go
+++ b/pkg/place/index.go
@@ -135,14 +135,10 @@
 	x.cells[s.cell] = c[:len(c)-1]
 }
 
-// Count notes that a task of a team and kind was put on a worker (1) or left
+// Count notes that a task of a team and kind was put into a rack (1) or left
 // it (-1).
-func (x *Index) Count(id sched.InstanceID, team, kind string, change int) {
-	s := x.slots[id]
-	if s == nil {
-		return
-	}
-	add(x.spread, group{team, kind, s.rack}, change)
+func (x *Index) Count(rack, team, kind string, change int) {
+	add(x.spread, group{team, kind, rack}, change)
 	add(x.total, [2]string{team, kind}, change)
 }
 
--- /dev/null
+++ b/pkg/plan/planner_test.go
@@ -0,0 +1,82 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/bench/batch"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+const gibibyte = 1 << 30
+
+func workers(n int) []sched.Member {
+	all := make([]sched.Member, n)
+	for i := range all {
+		all[i] = sched.Member{
+			ID: sched.InstanceID(fmt.Sprintf("worker-%d", i)), Role: sched.RoleWorker, State: sched.StateLive,
+			Rack:     fmt.Sprintf("rack-%d", i/4),
+			Capacity: sched.Resources{Processors: 16_000, Memory: 60 * gibibyte, Accelerators: int64(i % 2)},
+		}
+	}
+	return all
+}
+
+func settings() *sched.Settings {
+	return &sched.Settings{
+		TaskKinds: []sched.TaskKindSettings{
+			{Name: "sweep", MaxAttempts: 3, MaxEvictions: 4},
+			{Name: "broken", MaxAttempts: 3},
+		},
+		Teams: []sched.TeamSettings{{Name: "small", Resources: sched.Resources{Processors: 8000}}},
+		Limits: sched.LimitSettings{
+			LeaseDuration: 10 * time.Second, ClockBound: 500 * time.Millisecond,
+			IsolationLimit: 20 * time.Second, ListLag: 5 * time.Second, AheadDepth: 2,
+			DedupWindow: time.Hour,
+		},
+	}
+}
+
+func truth(run time.Duration) func(sched.TaskID, string, sched.InstanceID) batch.Work {
+	return func(_ sched.TaskID, kind string, _ sched.InstanceID) batch.Work {
+		return batch.Work{RunTime: run, Fails: kind == "broken"}
+	}
+}
+
+func task(id string, processors int64) sched.Task {
+	return sched.Task{
+		ID: sched.TaskID(id), Kind: "sweep", Partner: "kooperatiba", Team: "rooms",
+		Urgency: sched.UrgencyStandard, Needs: sched.Resources{Processors: processors, Memory: gibibyte},
+		RunTime: time.Minute,
+	}
+}
+
+func config(seed uint64, planners, fleet int) batch.Config {
+	return batch.Config{
+		Seed: seed, Planners: planners, Workers: workers(fleet), Settings: settings(),
+		Truth: truth(20 * time.Second), Offset: 250 * time.Millisecond,
+	}
+}
+
+// Guards against a planner that loses tasks or runs them twice without any
+// fault, and against a broken account of runs.
+func TestTasksRunOnce(t *testing.T) {
+	is := is.New(t)
+	s := batch.New(config(1, 3, 4))
+	s.Run(2 * time.Second)
+	const n = 60
+	for i := range n {
+		s.Submit(i, task(fmt.Sprintf("task-%d", i), 4000))
+	}
+	s.Run(3 * time.Minute)
+	is.Equal(len(s.Accepted), n)
+	is.Equal(s.Ledger().Open(), 0)
+	is.Equal(s.Observer.Violations, nil)
+	is.Equal(s.Observer.Starts, n)
+	u := s.Ledger().Usage("kooperatiba", s.Now())
+	is.Equal(u.Runs, int64(n))
+	is.Equal(u.ProcessorMillis, int64(n*20_000*4))
+}
--- a/pkg/sched/entry.go
+++ b/pkg/sched/entry.go
@@ -117,7 +117,11 @@
 	// CancelRequested is set once the task was withdrawn; its attempt may still
 	// run.
 	CancelRequested bool
-	Checkpoint      CheckpointID
+	// Checkpoint is what the next attempt resumes from, or what the latest one
+	// resumed from while it may be alive. CheckpointOf is the attempt after
+	// which it may be used; only the next one does.
+	Checkpoint   CheckpointID
+	CheckpointOf Attempt
 	// Progress is the run time that the checkpoint, or the result, contains.
 	Progress  time.Duration
 	Evictions int
