Measure and cut the bytes of heartbeats, demand and configuration

Cause: a node has 8 KB/s for all control traffic. Nobody had counted it.

Demand is now told only if it changes by more than the noise of counting and, while a team is calm, by more than half of an even part; what several instances of a data centre tell alike is passed on once; repetitions take 3 min (15 min for calm teams) instead of 1; fewer items per heartbeat; the admitted rate is no longer sent, as nobody uses it. codec.NewsToWire and NewsFromWire map sched.Heartbeat.Config.

--- /dev/null
+++ b/pkg/codec/news.go
@@ -0,0 +1,38 @@
+package codec
+
+import (
+	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// NewsToWire maps the part of a heartbeat that brings changes of the
+// configuration. It returns nil if there are none, which takes no bytes.
+func NewsToWire(n sched.ConfigNews) *pb.ConfigNews {
+	if len(n.Steps) == 0 {
+		return nil
+	}
+	w := &pb.ConfigNews{AsOf: int64(n.AsOf)}
+	for _, s := range n.Steps {
+		w.Steps = append(w.Steps, &pb.ConfigStep{
+			Base: int64(s.Base), Version: int64(s.Version), Changes: s.Changes, Hash: s.Hash[:],
+		})
+	}
+	return w
+}
+
+// NewsFromWire maps it back. News with a malformed step are dropped as a
+// whole, as the later steps would not apply.
+func NewsFromWire(w *pb.ConfigNews) sched.ConfigNews {
+	n := sched.ConfigNews{AsOf: sched.Offset(w.GetAsOf())}
+	for _, s := range w.GetSteps() {
+		step := sched.ConfigStep{
+			Base: sched.Offset(s.GetBase()), Version: sched.Offset(s.GetVersion()), Changes: s.GetChanges(),
+		}
+		if len(s.GetHash()) != len(step.Hash) {
+			return sched.ConfigNews{}
+		}
+		copy(step.Hash[:], s.GetHash())
+		n.Steps = append(n.Steps, step)
+	}
+	return n
+}
--- a/pkg/quota/book.go
+++ b/pkg/quota/book.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	// the data centre. Outside, an instance contacts two others every 2 s.
 	peerFresh = 5 * time.Second
 	areaFresh = 20 * time.Second
+	// sameArea is the relative difference up to which two instances of a data
+	// centre are taken to tell the same of it.
+	sameArea = 0.1
 	// minInterval is the shortest time over which demand is measured.
 	minInterval = 500 * time.Millisecond
 	// smoothing is the weight of the newest measurement.
@@ -42,6 +46,9 @@
 type areaValue struct {
 	rate float64
 	asOf time.Time
+	// spread is the time at which it was last passed on in this data centre, by
+	// anyone.
+	spread time.Time
 }
 
 type area struct {
@@ -57,20 +64,19 @@
 	teams   []sched.TeamSettings
 	quotas  map[string]float64
 	// own is the measured demand, said what the peers have been told.
-	own      demand
-	admitted demand
-	said     demand
-	counts   map[string]Count
-	sampled  time.Time
-	peers    map[sched.InstanceID]*peer
-	areas    map[sched.DataCentre]*area
-	news     news
+	own     demand
+	said    demand
+	counts  map[string]Count
+	sampled time.Time
+	peers   map[sched.InstanceID]*peer
+	areas   map[sched.DataCentre]*area
+	news    news
 }
 
 // New returns a book without teams.
 func New(o Options) *Book {
 	return &Book{
-		options: o, quotas: map[string]float64{}, own: demand{}, admitted: demand{}, said: demand{},
+		options: o, quotas: map[string]float64{}, own: demand{}, said: demand{},
 		counts: map[string]Count{}, peers: map[sched.InstanceID]*peer{}, areas: map[sched.DataCentre]*area{},
 		news: newNews(),
 	}
@@ -83,7 +89,7 @@
 	for _, t := range teams {
 		b.quotas[t.Name] = t.Requests
 	}
-	for _, d := range []demand{b.own, b.admitted, b.said} {
+	for _, d := range []demand{b.own, b.said} {
 		for team := range d {
 			if _, ok := b.quotas[team]; !ok {
 				delete(d, team)
@@ -108,7 +114,6 @@
 			continue
 		}
 		b.own[c.Team] += smoothing * (float64(c.Offered-before.Offered)/passed.Seconds() - b.own[c.Team])
-		b.admitted[c.Team] += smoothing * (float64(c.Admitted-before.Admitted)/passed.Seconds() - b.admitted[c.Team])
 	}
 	b.announce(now)
 }
@@ -150,8 +155,9 @@
 	}
 }
 
-// hearArea takes the demand of another data centre. What came from there
-// directly is passed on to the peers of this data centre.
+// hearArea takes the demand of another data centre. What comes from there
+// directly and is new here is passed on to the peers of this data centre. Each
+// instance there tells much the same, so most of it is not new.
 func (b *Book) hearArea(now time.Time, heard sched.AreaDemand, direct bool) {
 	if heard.AsOf.After(now) {
 		heard.AsOf = now // the sender's clock is ahead
@@ -161,6 +167,9 @@
 		a = &area{demand: map[string]areaValue{}}
 		b.areas[heard.DataCentre] = a
 	}
+	if direct && now.Sub(a.heardAt) > headerEvery {
+		b.news.touched[heard.DataCentre] = now
+	}
 	if heard.AsOf.After(a.asOf) {
 		a.asOf, a.instances, a.heardAt = heard.AsOf, heard.Instances, now
 	}
@@ -169,16 +178,19 @@
 		if _, ok := b.quotas[d.Team]; !ok || !valid(d.Offered) || !heard.AsOf.After(v.asOf) {
 			continue
 		}
-		a.demand[d.Team] = areaValue{d.Offered, heard.AsOf}
-		if direct {
-			b.news.area(now, heard.DataCentre, d.Team)
-		} else {
+		news := math.Abs(d.Offered-v.rate) > sameArea*v.rate || now.Sub(v.spread) > repeatAfter
+		v.asOf = heard.AsOf
+		if !direct || news {
+			v.rate, v.spread = d.Offered, now
+		}
+		a.demand[d.Team] = v
+		switch {
+		case !direct:
 			delete(b.news.items, item{heard.DataCentre, d.Team}) // a peer passes on something newer
+		case news:
+			b.news.items[item{heard.DataCentre, d.Team}] = b.news.next(now)
 		}
 	}
-	if direct {
-		b.news.touch(now, heard.DataCentre)
-	}
 }
 
 // Parts returns this instance's parts of all quotas, in the order of the
--- a/pkg/quota/news.go
+++ b/pkg/quota/news.go
@@ -12,18 +12,29 @@
 const (
 	// peerItems and areaItems bound the teams per heartbeat, inside the data
 	// centre (one a second to each peer) and outside (one a second in all). An
-	// item takes about 20 bytes; both bounds together stay below 3 KB/s with 8
-	// peers.
-	peerItems = 8
-	areaItems = 24
-	// A change is told if it is over changePart of the value told before and
-	// over quotaPart of an even part of the quota. Smaller ones change nobody's
-	// part noticeably.
+	// item takes about 17 bytes; both bounds together stay below 2 KB/s with 8
+	// peers, both ways.
+	peerItems = 4
+	areaItems = 12
+	// A change is told if it is over changePart of the value told before, over
+	// a part of an even part of the quota, and over the noise of counting. What
+	// is not told makes parts less fitting, but they still sum to the quota, as
+	// every instance reckons with what it has told.
 	changePart = 0.2
-	quotaPart  = 0.05
-	// repeatAfter is the age at which a value is told again, for the peers that
-	// missed it because an answer was lost.
-	repeatAfter = 60 * time.Second
+	quotaPart  = 0.1
+	// calmPart replaces quotaPart while the known demand is at most half of the
+	// quota. Then everyone's part exceeds its told demand by at least half of
+	// an even part, so that what is not told is admitted all the same.
+	calmPart = 0.5
+	// noise is the number of standard deviations that a change must exceed. The
+	// smoothed demand averages over about noiseWindow seconds.
+	noise       = 2
+	noiseWindow = 3
+	// repeatAfter and repeatCalm are the ages at which a value is told again,
+	// for peers that missed it because an answer was lost. With 170 teams and 18
+	// data centres, a repetition every minute alone would fill the heartbeats.
+	repeatAfter = 3 * time.Minute
+	repeatCalm  = 15 * time.Minute
 	// headerEvery is the time after which a data centre that is heard without
 	// changes is mentioned to a peer again. It is well below areaFresh.
 	headerEvery = 5 * time.Second
@@ -78,12 +89,6 @@
 	return told{n.last, now}
 }
 
-func (n *news) area(now time.Time, d sched.DataCentre, team string) {
-	n.items[item{d, team}] = n.next(now)
-}
-
-func (n *news) touch(now time.Time, d sched.DataCentre) { n.touched[d] = now }
-
 func (n *news) forget(p sched.InstanceID) { delete(n.peers, p) }
 
 func (n *news) failed(p sched.InstanceID, d sched.DataCentre) {
@@ -119,40 +124,52 @@
 }
 
 // changed tells whether a value is worth telling.
-func changed(said, is, evenPart float64) bool {
-	return math.Abs(is-said) > max(changePart*said, quotaPart*evenPart)
+func changed(said, is, evenPart float64, calm bool) bool {
+	part := quotaPart
+	if calm {
+		part = calmPart
+	}
+	deviation := math.Sqrt(max(said, is) / noiseWindow)
+	return math.Abs(is-said) > max(changePart*said, part*evenPart, noise*deviation)
 }
 
 // announce finds the own demand and the demand of the data centre that are
 // worth telling.
 func (b *Book) announce(now time.Time) {
-	instances := 1
+	var peers []*peer
 	for _, p := range b.peers {
 		if now.Sub(p.heardAt) <= peerFresh {
-			instances++
+			peers = append(peers, p)
 		}
 	}
-	centres := len(b.areas) + 1
+	centres := float64(len(b.areas) + 1)
 	for _, t := range b.teams {
 		if t.Requests == 0 {
 			continue
 		}
+		sum := b.said[t.Name]
+		for _, p := range peers {
+			sum += p.demand[t.Name]
+		}
+		all := sum
+		for _, a := range b.areas {
+			all += a.demand[t.Name].rate
+		}
+		calm, repeat := all <= t.Requests/2, repeatAfter
+		if calm {
+			repeat = repeatCalm
+		}
 		is := b.own[t.Name]
 		old, known := b.news.items[item{"", t.Name}]
-		if changed(b.said[t.Name], is, t.Requests/float64(instances*centres)) ||
-			known && now.Sub(old.at) > repeatAfter {
+		if changed(b.said[t.Name], is, t.Requests/(centres*float64(len(peers)+1)), calm) ||
+			known && now.Sub(old.at) > repeat {
+			sum += is - b.said[t.Name]
 			b.said[t.Name] = is
 			b.news.items[item{"", t.Name}] = b.news.next(now)
 		}
-		sum := b.said[t.Name]
-		for _, p := range b.peers {
-			if now.Sub(p.heardAt) <= peerFresh {
-				sum += p.demand[t.Name]
-			}
-		}
 		old, known = b.news.sums[t.Name]
-		if changed(b.news.sumSaid[t.Name], sum, t.Requests/float64(centres)) ||
-			known && now.Sub(old.at) > repeatAfter {
+		if changed(b.news.sumSaid[t.Name], sum, t.Requests/centres, calm) ||
+			known && now.Sub(old.at) > repeat {
 			b.news.sumSaid[t.Name] = sum
 			b.news.sums[t.Name] = b.news.next(now)
 		}
@@ -191,7 +208,7 @@
 	var areas []sched.AreaDemand
 	for _, i := range after(all, q, peerItems) {
 		if i.centre == "" {
-			own = append(own, sched.TeamDemand{Team: i.team, Offered: b.said[i.team], Admitted: b.admitted[i.team]})
+			own = append(own, sched.TeamDemand{Team: i.team, Offered: b.said[i.team]})
 			continue
 		}
 		areas = b.relay(areas, i)
@@ -221,6 +238,9 @@
 	if q.headers == nil {
 		q.headers = map[sched.DataCentre]time.Time{}
 	}
+	for _, a := range areas {
+		q.headers[a.DataCentre] = now
+	}
 	for d, at := range b.news.touched {
 		if now.Sub(at) > headerEvery || now.Sub(q.headers[d]) < headerEvery {
 			continue
