--- a/pkg/config/folder.go
+++ b/pkg/config/folder.go
@@ -85,7 +85,7 @@
 		problems = append(problems, c.problems...)
 	}
 	if len(problems) > 0 {
-		return Document{}, problems.sorted()
+		return Document{}, problems.sorted().bounded()
 	}
 	tree, _ := root.tree().(map[string]any)
 	d, err := newDocument(tree)
--- a/pkg/config/node.go
+++ b/pkg/config/node.go
@@ -44,10 +44,20 @@
 func (n *node) problem(path []string, message, allowed string) Problem {
 	return Problem{
 		File: n.file, Line: n.line, Column: n.column,
-		Field: strings.Join(path, "."), Message: message, Allowed: allowed,
+		Field: shortField(path), Message: message, Allowed: allowed,
 	}
 }
 
+// shortField bounds the path in a problem; keys may be as long as a file.
+func shortField(path []string) string {
+	const most = 200
+	s := strings.Join(path, ".")
+	if len(s) > most {
+		s = s[:most] + "..."
+	}
+	return s
+}
+
 // get returns the node below the path, or nil.
 func (n *node) get(path ...string) *node {
 	for _, k := range path {
--- a/pkg/config/problem.go
+++ b/pkg/config/problem.go
@@ -57,3 +57,14 @@
 	})
 	return p
 }
+
+// maxProblems bounds the report on a file that is not a configuration at all.
+const maxProblems = 1000
+
+func (p Problems) bounded() Problems {
+	if len(p) <= maxProblems {
+		return p
+	}
+	more := Problem{File: "folder", Message: fmt.Sprintf("%d more problems", len(p)-maxProblems)}
+	return append(p[:maxProblems:maxProblems], more)
+}
--- a/pkg/config/scalar.go
+++ b/pkg/config/scalar.go
@@ -17,9 +17,9 @@
 	read    func(n *node) (any, bool)
 }
 
-const nameRule = "a name of 1 to 63 letters, digits, dots, underscores and hyphens that begins with a letter"
+const nameRule = "a name of 1 to 63 letters, digits, underscores and hyphens that begins with a letter"
 
-var namePattern = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9._-]{0,62}$`)
+var namePattern = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_-]{0,62}$`)
 
 func nameScalar() scalar {
 	return scalar{allowed: nameRule, read: func(n *node) (any, bool) {
