Keep quotas in partitions, test each partition row

Cause: with only some links cut, each instance reckoned with whom it heard. Where A hears C but not B, and B hears C but not A, the parts together exceeded the quota; one-way cuts and rounded demand did the same.

Change: two-level split. A data centre takes its part by the demand that it has told others, its instances split that part by their own demand. One reporter per data centre (lowest id) sums up, so that all reckon with the same value and the bytes fall. If anyone reports that it doesn't hear every instance (Heartbeat.Partial, AreaDemand.Partial), each data centre takes its even part. Heartbeat.Unheard tells a peer that the way back is cut. member.View.Entries counts live and unreachable entry instances only, and an instance outside counts as unreachable only while its whole data centre is silent, as outside each instance is contacted rarely.

They don't follow the demand between data centres while an instance is missing that the list still shows.

--- a/internal/bench/fleet/sim.go
+++ b/internal/bench/fleet/sim.go
@@ -26,6 +26,9 @@
 	Read int
 }
 
+// listPause is the time between two reads of the list in seconds.
+const listPause = 10
+
 // Spent is a number of bytes by what they are for.
 type Spent struct{ Beats, Demand, Config int }
 
@@ -45,6 +48,10 @@
 	// Flooded tells which teams offer about five times their quota; the others
 	// offer two fifths of it.
 	Flooded func(team int) bool
+	// Cut tells whether messages from one instance to another get lost, NoLog
+	// whether an instance reaches neither the log nor the list. Both may be nil.
+	Cut   func(from, to sched.Member) bool
+	NoLog func(m sched.Member) bool
 	// Total is what all instances spent, Worst the most of one instance in one
 	// second.
 	Total Spent
@@ -52,6 +59,7 @@
 	// Exchanges counts the exchanges of all instances, each at both ends.
 	Exchanges int
 
+	list   []sched.Member
 	random *rand.Rand
 	now    time.Time
 	nodes  []*node
@@ -69,6 +77,9 @@
 	counts []quota.Count
 	rates  []float64
 	second Spent
+	// logReached, versions and reached are what heartbeats and news need.
+	logReached time.Time
+	heard      map[sched.InstanceID]sched.Heartbeat
 }
 
 // Prepare makes the instances. Every one knows the list.
@@ -77,22 +88,22 @@
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	s.byID = map[sched.InstanceID]*node{}
-	var list []sched.Member
 	for k := range s.Instances {
-		list = append(list, sched.Member{
+		s.list = append(s.list, sched.Member{
 			ID: sched.InstanceID(fmt.Sprintf("entry-%03d", k)), Incarnation: 1, Role: sched.RoleEntry,
 			State: sched.StateLive, Region: sched.Region(fmt.Sprint("region-", k%s.Centres%5)),
 			DataCentre: sched.DataCentre(fmt.Sprint("centre-", k%s.Centres)), Address: fmt.Sprintf("10.0.%d.%d:7400", k/250, k%250),
 		})
 	}
-	for _, m := range list {
+	for _, m := range s.list {
 		n := &node{
 			self:   m,
+			heard:  map[sched.InstanceID]sched.Heartbeat{},
 			table:  member.New(s.now, member.Options{Self: m}),
 			book:   quota.New(quota.Options{Self: m.ID, DataCentre: m.DataCentre}),
 			replay: versn.New(versn.Options{Self: m.ID, Retention: 24 * time.Hour, Decode: codec.DecodeConfig}),
 		}
-		n.table.List(s.now, list)
+		n.table.List(s.now, s.list)
 		n.book.SetTeams(s.Teams)
 		for k, t := range s.Teams {
 			n.counts = append(n.counts, quota.Count{Team: t.Name})
@@ -183,11 +194,22 @@
 	n.book.Sample(s.now, n.counts)
 }
 
+func (s *Sim) cut(from, to *node) bool { return s.Cut != nil && s.Cut(from.self, to.self) }
+
 func (s *Sim) exchange(n *node) {
 	for _, c := range n.table.Contacts(s.now) {
 		p := s.byID[c.ID]
 		spent := s.send(n, p)
-		answer := s.send(p, n)
+		answer := Spent{}
+		lost := s.cut(n, p)
+		if !lost {
+			answer = s.send(p, n)
+			lost = s.cut(p, n)
+		}
+		if lost {
+			n.table.Missed(s.now, c.ID, c.Incarnation)
+			n.book.Failed(c.ID, c.DataCentre)
+		}
 		s.Exchanges += 2
 		for _, m := range []*node{n, p} {
 			m.second.Beats += spent.Beats + answer.Beats + s.Overhead.Beat
@@ -198,40 +220,71 @@
 
 // send passes one heartbeat through its encoding.
 func (s *Sim) send(from, to *node) Spent {
-	v, _ := from.replay.InForce()
-	w := &pb.Heartbeat{
-		From: string(from.self.ID), Incarnation: 1, DataCentre: string(from.self.DataCentre),
-		Region: string(from.self.Region), Address: from.self.Address, State: int32(sched.StateLive),
-		SentAt: s.now.UnixNano(), Version: int64(v), TaskApplied: 1_000_000, TermSeen: 999_000, LogReached: s.now.UnixNano(),
-	}
-	plain := proto.Size(w)
-	demand, areas := from.book.Report(s.now, to.self.ID, to.self.DataCentre)
-	w.Demand = demandToWire(demand)
-	for _, a := range areas {
-		w.Areas = append(w.Areas, &pb.AreaDemand{
-			DataCentre: string(a.DataCentre), Instances: int32(a.Instances), AsOf: a.AsOf.UnixNano(), Demand: demandToWire(a.Demand),
-		})
-	}
+	w, plain := s.heartbeat(from, to)
 	data, err := proto.Marshal(w)
 	if err != nil {
 		panic(err)
 	}
+	spent := Spent{Beats: plain, Demand: len(data) - plain}
+	if s.cut(from, to) {
+		return spent
+	}
 	got := &pb.Heartbeat{}
 	if err := proto.Unmarshal(data, got); err != nil {
 		panic(err)
 	}
 	h := sched.Heartbeat{
 		From: sched.InstanceID(got.From), Incarnation: 1, DataCentre: sched.DataCentre(got.DataCentre), Region: sched.Region(got.Region),
-		Address: got.Address, State: sched.StateLive, Version: sched.Offset(got.Version), Demand: demandFromWire(got.Demand),
+		Address: got.Address, State: sched.StateLive, Version: sched.Offset(got.Version), LogReached: time.Unix(0, got.LogReached),
+		Demand: demandFromWire(got.Demand), Config: codec.NewsFromWire(got.Config), Unheard: got.Unheard, Partial: got.Partial,
 	}
 	for _, a := range got.Areas {
 		h.Areas = append(h.Areas, sched.AreaDemand{
-			DataCentre: sched.DataCentre(a.DataCentre), Instances: int(a.Instances), AsOf: time.Unix(0, a.AsOf), Demand: demandFromWire(a.Demand),
+			DataCentre: sched.DataCentre(a.DataCentre), Instances: int(a.Instances), AsOf: time.Unix(0, a.AsOf), Partial: a.Partial, Demand: demandFromWire(a.Demand),
+		})
+	}
+	s.hear(to, from, h)
+	return spent
+}
+
+// heartbeat returns the message and its size without demand.
+func (s *Sim) heartbeat(from, to *node) (*pb.Heartbeat, int) {
+	v, _ := from.replay.InForce()
+	last := from.heard[to.self.ID]
+	w := &pb.Heartbeat{
+		From: string(from.self.ID), Incarnation: 1, DataCentre: string(from.self.DataCentre),
+		Region: string(from.self.Region), Address: from.self.Address, State: int32(sched.StateLive),
+		SentAt: s.now.UnixNano(), Version: int64(v), TaskApplied: 1_000_000, TermSeen: 999_000, LogReached: from.logReached.UnixNano(),
+		Unheard: from.book.Unheard(s.now, to.self.ID, to.self.DataCentre), Partial: from.book.Partial(s.now),
+	}
+	if last.From != "" {
+		w.Config = codec.NewsToWire(from.replay.News(s.now, to.self.ID, last.Version, last.LogReached))
+	}
+	plain := proto.Size(w)
+	demand, areas := from.book.Report(s.now, to.self.ID, to.self.DataCentre)
+	w.Demand = demandToWire(demand)
+	for _, a := range areas {
+		w.Areas = append(w.Areas, &pb.AreaDemand{
+			DataCentre: string(a.DataCentre), Instances: int32(a.Instances), AsOf: a.AsOf.UnixNano(), Partial: a.Partial, Demand: demandToWire(a.Demand),
 		})
 	}
-	to.table.Heartbeat(s.now, h)
-	to.book.Hear(s.now, h)
-	return Spent{Beats: plain, Demand: len(data) - plain}
+	return w, plain
+}
+
+func (s *Sim) hear(n, from *node, h sched.Heartbeat) {
+	n.heard[h.From] = h
+	n.table.Heartbeat(s.now, h)
+	n.book.Hear(s.now, h)
+	n.replay.Heard(s.now, h.Version)
+	n.replay.TakeNews(h.Config)
+	if !n.replay.WantCopy(s.now, h.Version) || s.cut(n, from) || !from.replay.ServeCopy(s.now) {
+		return
+	}
+	c := from.replay.Copy()
+	n.replay.TakeCopy(c)
+	for _, m := range []*node{n, from} {
+		m.second.Config += len(c.Document) + s.Overhead.Beat
+	}
 }
 
 func demandToWire(all []sched.TeamDemand) []*pb.TeamDemand {
@@ -252,6 +305,13 @@
 
 // read polls the config stream through the JSON of the log.
 func (s *Sim) read(n *node) {
+	if s.NoLog != nil && s.NoLog(n.self) {
+		return
+	}
+	n.logReached = s.now
+	if s.now.Unix()%listPause == 0 {
+		n.table.List(s.now, s.list)
+	}
 	from := n.replay.Next()
 	end := sched.Offset(len(s.stream) + 1)
 	to := min(from+versn.ReadLimit, end)
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -62,9 +62,11 @@
 	// at once.
 	startedAt time.Time
 	listAt    time.Time
-	largest   int
-	view      *View
-	dirty     bool
+	// heardOf is the newest contact with any instance of a data centre.
+	heardOf map[sched.DataCentre]time.Time
+	largest int
+	view    *View
+	dirty   bool
 }
 
 // New returns a table that knows only the instance itself.
@@ -75,7 +77,7 @@
 	if o.Hysteresis == 0 {
 		o.Hysteresis = DefaultHysteresis
 	}
-	t := &Table{options: o, entries: map[sched.InstanceID]*entry{}, startedAt: now, dirty: true}
+	t := &Table{options: o, entries: map[sched.InstanceID]*entry{}, heardOf: map[sched.DataCentre]time.Time{}, startedAt: now, dirty: true}
 	self := o.Self.WithState(sched.StateLive)
 	t.entries[self.ID] = &entry{member: self, since: now, heardAt: now, steady: true}
 	t.Tick(now)
@@ -132,6 +134,7 @@
 		return
 	}
 	e.heardAt = now
+	t.heardOf[h.DataCentre] = now
 	e.version = max(e.version, h.Version)
 	if h.State == sched.StateLeaving {
 		t.setState(now, e, sched.StateLeaving)
@@ -228,6 +231,16 @@
 	return e.member.Role == sched.RoleEntry && e.member.DataCentre == t.options.Self.DataCentre
 }
 
+// missed tells whether the last contact with the instance failed. An entry
+// instance outside is contacted rarely; if others of its data centre have been
+// heard since, the way there is open, and the list tells whether it runs.
+func (t *Table) missed(e *entry, last time.Time) bool {
+	if e.member.Role == sched.RoleEntry && t.heardOf[e.member.DataCentre].After(e.missedAt) {
+		return false
+	}
+	return e.missedAt.After(last)
+}
+
 // refresh derives state and steadiness of one entry.
 func (t *Table) refresh(now time.Time, e *entry) {
 	if e.member.ID == t.options.Self.ID {
@@ -237,7 +250,7 @@
 	if last.Before(e.since) {
 		last = e.since // a new instance gets the time to be heard
 	}
-	silent := now.Sub(last) > t.options.Silence && (t.expected(e) || e.missedAt.After(last))
+	silent := now.Sub(last) > t.options.Silence && (t.expected(e) || t.missed(e, last))
 	heard := !e.heardAt.IsZero() && now.Sub(e.heardAt) <= t.options.Silence
 	// An instance that is too new for the list is heard; one that the list has
 	// dropped is not.
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -50,7 +50,7 @@
 		if m.Role != sched.RoleEntry {
 			continue
 		}
-		if m.State != sched.StateGone {
+		if m.State == sched.StateLive || m.State == sched.StateUnreachable {
 			v.entries++
 		}
 		if t.entries[m.ID].steady {
@@ -98,7 +98,8 @@
 	return all
 }
 
-// Entries returns the number of entry instances that are not gone.
+// Entries returns the number of entry instances that may admit requests: those
+// that are neither leaving nor gone.
 func (v *View) Entries() int { return v.entries }
 
 // LargestEntries returns the largest number of entry instances that were not
--- a/pkg/quota/book_test.go
+++ b/pkg/quota/book_test.go
@@ -23,7 +23,7 @@
 			sum += d
 		}
 		for _, d := range demands {
-			p := split(quota, d, sum, len(demands))
+			p := split(quota, d, sum, 1/float64(len(demands)))
 			if sum <= (1-spare)*quota && p < d {
 				t.Fatalf("part %g is below demand %g although all fit", p, d)
 			}
--- a/pkg/quota/news.go
+++ b/pkg/quota/news.go
@@ -14,14 +14,17 @@
 	// centre (one a second to each peer) and outside (one a second in all). An
 	// item takes about 17 bytes; both bounds together stay below 2 KB/s with 8
 	// peers, both ways.
-	peerItems = 4
+	peerItems = 6
 	areaItems = 12
 	// A change is told if it is over changePart of the value told before, over
 	// a part of an even part of the quota, and over the noise of counting. What
 	// is not told makes parts less fitting, but they still sum to the quota, as
 	// every instance reckons with what it has told.
 	changePart = 0.2
-	quotaPart  = 0.1
+	// sumPart replaces changePart for the demand of the whole data centre: the
+	// data centre itself reckons with the exact sum.
+	sumPart   = 0.05
+	quotaPart = 0.1
 	// calmPart replaces quotaPart while the known demand is at most half of the
 	// quota. Then everyone's part exceeds its told demand by at least half of
 	// an even part, so that what is not told is admitted all the same.
@@ -124,24 +127,20 @@
 }
 
 // changed tells whether a value is worth telling.
-func changed(said, is, evenPart float64, calm bool) bool {
+func changed(said, is, relative, evenPart float64, calm bool) bool {
 	part := quotaPart
 	if calm {
 		part = calmPart
 	}
 	deviation := math.Sqrt(max(said, is) / noiseWindow)
-	return math.Abs(is-said) > max(changePart*said, part*evenPart, noise*deviation)
+	return math.Abs(is-said) > max(relative*said, part*evenPart, noise*deviation)
 }
 
 // announce finds the own demand and the demand of the data centre that are
 // worth telling.
 func (b *Book) announce(now time.Time) {
-	var peers []*peer
-	for _, p := range b.peers {
-		if now.Sub(p.heardAt) <= peerFresh {
-			peers = append(peers, p)
-		}
-	}
+	r := b.reach(now)
+	peers, reports := r.peers, b.reports(r)
 	centres := float64(len(b.areas) + 1)
 	for _, t := range b.teams {
 		if t.Requests == 0 {
@@ -161,17 +160,21 @@
 		}
 		is := b.own[t.Name]
 		old, known := b.news.items[item{"", t.Name}]
-		if changed(b.said[t.Name], is, t.Requests/(centres*float64(len(peers)+1)), calm) ||
+		if changed(b.said[t.Name], is, changePart, t.Requests/(centres*float64(len(peers)+1)), calm) ||
 			known && now.Sub(old.at) > repeat {
 			sum += is - b.said[t.Name]
 			b.said[t.Name] = is
 			b.news.items[item{"", t.Name}] = b.news.next(now)
 		}
+		if !reports {
+			continue
+		}
 		old, known = b.news.sums[t.Name]
-		if changed(b.news.sumSaid[t.Name], sum, t.Requests/centres, calm) ||
+		if changed(b.news.sumSaid[t.Name], sum, sumPart, t.Requests/centres, calm) ||
 			known && now.Sub(old.at) > repeat {
 			b.news.sumSaid[t.Name] = sum
 			b.news.sums[t.Name] = b.news.next(now)
+			b.news.items[item{b.options.DataCentre, t.Name}] = b.news.sums[t.Name]
 		}
 	}
 }
@@ -218,8 +221,11 @@
 
 // relay adds an item to the entry of its data centre and time.
 func (b *Book) relay(areas []sched.AreaDemand, i item) []sched.AreaDemand {
-	a := b.areas[i.centre]
-	v := a.demand[i.team]
+	a, v := &area{instances: 1}, areaValue{rate: b.news.sumSaid[i.team], asOf: b.news.sums[i.team].at}
+	if i.centre != b.options.DataCentre {
+		a = b.areas[i.centre]
+		v = a.demand[i.team]
+	}
 	d := sched.TeamDemand{Team: i.team, Offered: v.rate}
 	for k := range areas {
 		if areas[k].DataCentre == i.centre && areas[k].AsOf.Equal(v.asOf) {
@@ -228,7 +234,7 @@
 		}
 	}
 	return append(areas, sched.AreaDemand{
-		DataCentre: i.centre, Instances: a.instances, AsOf: v.asOf, Demand: []sched.TeamDemand{d},
+		DataCentre: i.centre, Instances: a.instances, AsOf: v.asOf, Partial: a.partial, Demand: []sched.TeamDemand{d},
 	})
 }
 
@@ -247,7 +253,7 @@
 		}
 		q.headers[d] = now
 		a := b.areas[d]
-		areas = append(areas, sched.AreaDemand{DataCentre: d, Instances: a.instances, AsOf: a.asOf})
+		areas = append(areas, sched.AreaDemand{DataCentre: d, Instances: a.instances, AsOf: a.asOf, Partial: a.partial})
 	}
 	slices.SortStableFunc(areas, func(x, y sched.AreaDemand) int { return cmp.Compare(x.DataCentre, y.DataCentre) })
 	return areas
@@ -267,14 +273,16 @@
 			all = append(all, numberedItem{item{"", team}, t.number})
 		}
 	}
-	own := sched.AreaDemand{DataCentre: b.options.DataCentre, Instances: 1, AsOf: now}
-	for _, p := range b.peers {
-		if now.Sub(p.heardAt) <= peerFresh {
-			own.Instances++
-		}
+	r := b.reach(now)
+	own := sched.AreaDemand{DataCentre: b.options.DataCentre, Instances: r.here, AsOf: now, Partial: r.partial}
+	for _, p := range r.peers {
+		own.Partial = own.Partial || p.partial
 	}
+	areas := []sched.AreaDemand{own}
 	for _, i := range after(all, q, areaItems) {
-		own.Demand = append(own.Demand, sched.TeamDemand{Team: i.team, Offered: b.news.sumSaid[i.team]})
+		// The time is that of the reporter, so that a value which this instance
+		// passes on late doesn't replace a newer one.
+		areas = b.relay(areas, item{b.options.DataCentre, i.team})
 	}
-	return []sched.AreaDemand{own}
+	return areas
 }
--- a/pkg/sched/peer.go
+++ b/pkg/sched/peer.go
@@ -21,6 +21,8 @@
 	Instances int
 	// AsOf is the time at which an instance of that data centre summed it up.
 	AsOf time.Time
+	// Partial is set if an instance there doesn't hear every other one.
+	Partial bool
 	// Demand holds the teams whose demand changed; it doesn't list the others.
 	Demand []TeamDemand
 }
@@ -72,6 +74,12 @@
 	// Demand holds the teams whose demand at the sender changed.
 	Demand []TeamDemand
 	Areas  []AreaDemand
+	// Unheard is set if the sender has not heard the receiver's data centre, or
+	// inside the data centre the receiver, for a while: the way back is cut.
+	Unheard bool
+	// Partial is set if the sender doesn't hear every entry instance, directly
+	// or through its data centre.
+	Partial bool
 	// Config is set for receivers whose LogReached is old.
 	Config ConfigNews
 	Totals []PartnerTotal
