--- /dev/null
+++ b/internal/standin/bkend/server_test.go
@@ -0,0 +1,159 @@
+package bkend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+type rig struct {
+	clock    *clock.Manual
+	server   *Server
+	observer *Observer
+	client   *http.Client
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{clock: clock.NewManual(time.Unix(1000, 0)), observer: NewObserver()}
+	r.server = New("b1", "s", r.clock, r.observer, 1)
+	if err := r.server.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	transport := &http.Transport{}
+	r.client = &http.Client{Transport: transport}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		_ = r.server.Stop()
+	})
+	return r
+}
+
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) get(c context.Context, id string) got {
+	req, err := http.NewRequestWithContext(c, http.MethodPost, "http://"+r.server.Address()+"/x", nil)
+	if err != nil {
+		return got{err: err}
+	}
+	req.Header.Set(sched.HeaderRequestID, id)
+	req.Header.Set(sched.HeaderUnrepeatable, "true")
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// Guards against a fault that does not do what tests of the request path rely
+// on: whether the request ran, and what the caller sees.
+func TestFaultsHaveTheirStatedEffect(t *testing.T) {
+	tests := []struct {
+		fault  Fault
+		runs   int
+		failed bool
+		hangs  bool // until the caller gives up
+		status int
+		id     string
+	}{
+		{"", 1, false, false, 200, "id"},
+		{FaultSilentBefore, 0, true, true, 0, ""},
+		{FaultSilentAfter, 1, true, true, 0, ""},
+		{FaultTruncated, 1, true, false, 200, "id"},
+		{FaultWrongID, 1, false, false, 200, "other-id"},
+		{FaultResetBefore, 0, true, false, 0, ""},
+		{FaultResetAfter, 1, true, false, 0, ""},
+		{FaultError, 1, false, false, 500, "id"},
+		{FaultLate, 1, true, true, 0, ""}, // the manual clock doesn't move
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.fault), func(t *testing.T) {
+			i := is.New(t)
+			r := newRig(t)
+			r.server.SetFaults(Faults{LateBy: time.Hour})
+			if tt.fault != "" {
+				r.server.Inject(tt.fault, 1)
+			}
+			c, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if tt.hangs {
+				go func() {
+					defer cancel()
+					for r.observer.Counts().Arrived == 0 || r.observer.Runs("id") < tt.runs {
+						time.Sleep(time.Millisecond)
+					}
+				}()
+			}
+			g := r.get(c, "id")
+			i.Equal(g.err != nil, tt.failed)
+			i.Equal(g.status, tt.status)
+			i.Equal(g.header.Get(sched.HeaderRequestID), tt.id)
+			i.Equal(r.observer.Runs("id"), tt.runs)
+			g = r.get(t.Context(), "next") // a new connection works
+			i.NoErr(g.err)
+			i.Equal(g.body, "s answered next\n")
+		})
+	}
+}
+
+// Guards against a server that runs more than its slots, or that refuses
+// without saying that nothing ran.
+func TestFullServerRefusesWithoutRunning(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.server.Slots, r.server.Median = 2, time.Second
+	var wait sync.WaitGroup
+	for _, id := range []string{"a", "b"} {
+		wait.Go(func() { i.Equal(r.get(t.Context(), id).status, 200) })
+	}
+	i.NoErr(r.clock.WaitSleepers(t.Context(), 2))
+	g := r.get(t.Context(), "c")
+	i.Equal(g.status, 503)
+	i.Equal(g.header.Get(sched.HeaderNotRun), "true")
+	i.Equal(g.header.Get(sched.HeaderFreeSlots), "0")
+	r.clock.Advance(time.Second)
+	wait.Wait()
+	i.Equal(r.observer.Runs("c"), 0)
+	r.server.SetLeaving(true)
+	r.clock.Advance(3 * time.Second)
+	g = r.get(t.Context(), "d")
+	i.Equal(g.header.Get(sched.HeaderNotRun), "true")
+	i.Equal(g.header.Get(sched.HeaderLeaving), "true")
+	c := r.observer.Counts()
+	i.Equal(c.Runs, int64(2))
+	i.Equal(c.Refused, int64(2))
+	i.Equal(c.LastAfterLeaving, 3*time.Second)
+}
+
+// Guards against a surplus connection that is left without a verdict, and
+// against an observer that misses a duplicate run.
+func TestSurplusConnectionIsRefusedAndDuplicatesAreCounted(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.server.Connections, r.server.Median = 1, time.Second
+	done := make(chan got, 1)
+	go func() { done <- r.get(t.Context(), "a") }()
+	i.NoErr(r.clock.WaitSleepers(t.Context(), 1))
+	g := r.get(t.Context(), "b")
+	i.NoErr(g.err)
+	i.Equal(g.header.Get(sched.HeaderNotRun), "true")
+	r.clock.Advance(time.Second)
+	i.Equal((<-done).status, 200)
+	r.server.Median = 0
+	i.Equal(r.get(t.Context(), "a").status, 200)
+	i.Equal(r.observer.Counts().DuplicateUnrepeatable, int64(1))
+}
