Add a whole platform of stand-ins

Cause: demo, soak and tests need log, list, workers and backend servers wired together, with faults that can be switched from outside.

--- a/internal/standin/bkend/server.go
+++ b/internal/standin/bkend/server.go
@@ -98,6 +98,13 @@
 	return err
 }
 
+// Running tells whether the server listens.
+func (s *Server) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server != nil
+}
+
 // Address returns host:port, or "" before Start.
 func (s *Server) Address() string {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,245 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/bkend"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/roster"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/worker"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Fleet is a platform of stand-ins. The list shows all workers from the start,
+// backend servers once they listen, and entry instances when its user adds
+// them.
+type Fleet struct {
+	Setup Setup
+	Log   *logsvc.Service
+	List  *roster.Service
+	Pool  *worker.Pool
+	// Runs is the observer of all backend servers.
+	Runs    *bkend.Observer
+	Servers []*bkend.Server
+
+	clock   sched.Clock
+	areas   map[sched.DataCentre]*Gate
+	members map[sched.InstanceID]sched.Member // of backend servers
+
+	mu       sync.Mutex
+	bases    map[sched.DataCentre]string
+	admin    string
+	closers  []func() error
+	stopLoad context.CancelFunc
+	loads    sync.WaitGroup
+}
+
+// Counts is what all observers counted.
+type Counts struct {
+	Log     logsvc.Counts `json:"log"`
+	Workers worker.Counts `json:"workers"`
+	Backend bkend.Counts  `json:"backend"`
+}
+
+// New returns a platform in memory. Nothing listens before Serve.
+func New(s Setup, clock sched.Clock) *Fleet {
+	f := &Fleet{
+		Setup: s, clock: clock,
+		Log:  logsvc.New(clock, s.Seed, s.Retention),
+		List: roster.New(clock, s.ListLag),
+		Pool: worker.NewPool(worker.Config{
+			Clock: clock, Seed: s.Seed, CheckTokens: s.CheckTokens, Lag: s.ReportLag,
+			Truth: worker.TruthOf(s.Seed, s.Kinds), Impacts: s.Impacts, Noise: s.Noise,
+		}),
+		Runs:    bkend.NewObserver(),
+		areas:   map[sched.DataCentre]*Gate{},
+		members: map[sched.InstanceID]sched.Member{},
+		bases:   map[sched.DataCentre]string{},
+	}
+	for _, a := range s.Areas {
+		f.areas[a.DataCentre] = &Gate{Log: f.Log, List: f.List, Workers: f.Pool}
+		for n := range a.Workers {
+			f.addWorker(a, n)
+		}
+	}
+	return f
+}
+
+func (f *Fleet) addWorker(a Area, n int) {
+	s := f.Setup
+	w := f.Pool.Add(sched.Member{
+		ID:   sched.InstanceID(fmt.Sprintf("%s-worker-%02d", a.DataCentre, n+1)),
+		Role: sched.RoleWorker, State: sched.StateLive, Incarnation: 1,
+		Region: a.Region, DataCentre: a.DataCentre,
+		Rack:     fmt.Sprintf("%s-rack-%d", a.DataCentre, n/s.RackSize+1),
+		Capacity: s.Capacity,
+	})
+	m := w.Member()
+	f.List.PutNow(m)
+	w.SetLoads([]worker.Load{{Service: s.Service, Alone: s.alone()}})
+	id := sched.InstanceID(fmt.Sprintf("%s-%s-%02d", a.DataCentre, s.Service, n+1))
+	b := bkend.New(id, s.Service, f.clock, f.Runs, s.Seed+uint64(len(f.Servers)))
+	b.Slots, b.Connections = s.Slots, s.Connections
+	b.Median, b.Sigma, b.AnswerBytes = s.ServiceTime, s.ServiceSigma, s.AnswerBytes
+	b.Slowdown = func() float64 { return w.Slowdown(s.Service) }
+	f.Servers = append(f.Servers, b)
+	f.members[id] = sched.Member{
+		ID: id, Role: sched.RoleBackend, State: sched.StateLive, Incarnation: 1,
+		Region: a.Region, DataCentre: a.DataCentre, Rack: m.Rack, Host: m.ID,
+		Service: s.Service, Slots: s.Slots, Connections: s.Connections,
+	}
+}
+
+// alone is the 99th percentile of the service time without interference.
+func (s Setup) alone() time.Duration {
+	const z99 = 2.326 // of the standard normal distribution
+	return time.Duration(float64(s.ServiceTime) * math.Exp(z99*s.ServiceSigma))
+}
+
+// Area returns the platform as a data centre sees it.
+func (f *Fleet) Area(d sched.DataCentre) *Gate { return f.areas[d] }
+
+// Base returns the URL of the platform for a data centre, once it is served.
+func (f *Fleet) Base(d sched.DataCentre) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bases[d]
+}
+
+// Admin returns host:port of the admin endpoint, once it is served.
+func (f *Fleet) Admin() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.admin
+}
+
+// Counts returns what the observers counted so far.
+func (f *Fleet) Counts() Counts {
+	return Counts{Log: f.Log.Counts(), Workers: f.Pool.Observer().Counts(), Backend: f.Runs.Counts()}
+}
+
+// Serve starts the platform and the backend servers on free loopback ports and
+// the admin endpoint at the given address, "127.0.0.1:0" for a free port. It
+// returns once all listen. Close ends them.
+func (f *Fleet) Serve(admin string) error {
+	for _, a := range f.Setup.Areas {
+		address, err := f.listen("127.0.0.1:0", f.areas[a.DataCentre].Handler())
+		if err != nil {
+			return errors.Join(err, f.Close())
+		}
+		f.mu.Lock()
+		f.bases[a.DataCentre] = "http://" + address
+		f.mu.Unlock()
+		for _, w := range f.Pool.Workers() {
+			if m := w.Member(); m.DataCentre == a.DataCentre {
+				m.Address = address
+				f.List.PutNow(m)
+			}
+		}
+	}
+	for _, b := range f.Servers {
+		if err := f.StartServer(b); err != nil {
+			return errors.Join(err, f.Close())
+		}
+	}
+	address, err := f.listen(admin, f.adminHandler())
+	if err != nil {
+		return errors.Join(err, f.Close())
+	}
+	c, stop := context.WithCancel(context.Background())
+	f.mu.Lock()
+	f.admin, f.stopLoad = address, stop
+	f.mu.Unlock()
+	f.loads.Go(func() { f.followLoad(c) })
+	return nil
+}
+
+// StartServer starts a backend server on a free port and lists it at once.
+func (f *Fleet) StartServer(b *bkend.Server) error {
+	if err := b.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	m := f.members[b.ID]
+	m.Address = b.Address()
+	f.members[b.ID] = m
+	f.mu.Unlock()
+	f.List.PutNow(m)
+	return nil
+}
+
+// LeaveServer tells a backend server to leave and lists it as leaving, after
+// the list's lag.
+func (f *Fleet) LeaveServer(b *bkend.Server) {
+	b.SetLeaving(true)
+	f.mu.Lock()
+	m := f.members[b.ID]
+	f.mu.Unlock()
+	f.List.Put(m.WithState(sched.StateLeaving))
+}
+
+// Server returns the backend server of the given name, or nil.
+func (f *Fleet) Server(id sched.InstanceID) *bkend.Server {
+	for _, b := range f.Servers {
+		if b.ID == id {
+			return b
+		}
+	}
+	return nil
+}
+
+// Close ends everything that Serve started.
+func (f *Fleet) Close() error {
+	f.mu.Lock()
+	closers, stop := f.closers, f.stopLoad
+	f.closers, f.stopLoad = nil, nil
+	f.mu.Unlock()
+	if stop != nil {
+		stop()
+		f.loads.Wait()
+	}
+	var errs []error
+	for _, b := range f.Servers {
+		errs = append(errs, b.Stop())
+	}
+	for _, c := range closers {
+		errs = append(errs, c())
+	}
+	return errors.Join(errs...)
+}
+
+func (f *Fleet) listen(address string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", fmt.Errorf("stand-in platform: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.mu.Lock()
+	f.closers = append(f.closers, server.Close)
+	f.mu.Unlock()
+	// Serve always returns an error; after Close it is ErrServerClosed.
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// loadEvery is the time between two updates of the services' load on their
+// workers; reports show it with a longer lag anyway.
+const loadEvery = 250 * time.Millisecond
+
+// followLoad tells each worker how busy its backend server is.
+func (f *Fleet) followLoad(c context.Context) {
+	for f.clock.Sleep(c, loadEvery) == nil {
+		for _, b := range f.Servers {
+			load := float64(b.Busy()) / float64(b.Slots)
+			w := f.Pool.Worker(f.members[b.ID].Host)
+			w.SetLoads([]worker.Load{{Service: f.Setup.Service, Load: load, Alone: f.Setup.alone()}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/gate.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/roster"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/worker"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Gate is the platform as one data centre sees it. Cut separates the data
+// centre from the log and the list; its workers stay in reach. A call that is
+// under way when the gate is cut still takes effect.
+type Gate struct {
+	Log     sched.Log
+	List    sched.Roster
+	Workers sched.Workers
+
+	cut atomic.Bool
+}
+
+var (
+	_ sched.Log     = (*Gate)(nil)
+	_ sched.Roster  = (*Gate)(nil)
+	_ sched.Workers = (*Gate)(nil)
+)
+
+// SetCut separates the data centre from log and list, or joins it again.
+func (g *Gate) SetCut(on bool) { g.cut.Store(on) }
+
+// Append implements sched.Log.
+func (g *Gate) Append(c context.Context, stream string, data []byte) (sched.Offset, error) {
+	if g.cut.Load() {
+		// A caller can't tell a cut before the call from one after it.
+		return 0, sched.ErrUncertain
+	}
+	return g.Log.Append(c, stream, data)
+}
+
+// Read implements sched.Log.
+func (g *Gate) Read(c context.Context, stream string, from sched.Offset, limit int) (sched.Page, error) {
+	if g.cut.Load() {
+		return sched.Page{}, sched.ErrUnavailable
+	}
+	return g.Log.Read(c, stream, from, limit)
+}
+
+// Members implements sched.Roster.
+func (g *Gate) Members(c context.Context) ([]sched.Member, error) {
+	if g.cut.Load() {
+		return nil, sched.ErrUnavailable
+	}
+	return g.List.Members(c)
+}
+
+// Exchange implements sched.Workers.
+func (g *Gate) Exchange(c context.Context, w sched.Member, call sched.WorkerCall) (sched.WorkerReport, error) {
+	return g.Workers.Exchange(c, w, call)
+}
+
+// Handler serves log, list and workers over HTTP.
+func (g *Gate) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/log/", logsvc.Handler(g))
+	mux.Handle("/roster/", roster.Handler(g))
+	mux.Handle("/workers/", worker.Handler(g))
+	return mux
+}
