Answer unknown when a repeated unrepeatable id is refused early

Cause: an instance that drains, is overloaded or has lost the log refused a repeat as "not run", although an earlier send of the same id may have run. Change: callers mark repeats with Parsley-Repeat; a refusal before the claim is granted then has outcome unknown and code 303 (unknownEarlier).

--- a/internal/request/proxy/answer.go
+++ b/internal/request/proxy/answer.go
@@ -37,7 +37,7 @@
 // head writes the headers that every response carries.
 func (p *Proxy) head(w http.ResponseWriter, q *request, code sched.Code) {
 	h := w.Header()
-	if q != nil && q.ID != "" {
+	if q.ID != "" {
 		h[sched.HeaderRequestID] = []string{q.ID}
 	}
 	h[sched.HeaderOutcome] = []string{outcomeNames[code.Outcome()]}
@@ -47,9 +47,16 @@
 // refuse answers a request that did not run, or one whose earlier send can't
 // be told more about.
 func (p *Proxy) refuse(w http.ResponseWriter, q *request, f refusal) {
-	p.head(w, q, f.code)
-	e := entries[f.code]
+	reason := entries[f.code]
+	e := reason
 	text := e.Name + ": " + e.Meaning
+	if q.repeat && f.code.Outcome() == sched.OutcomeRefusedNotRun {
+		// The refusal speaks of this send only; the fate of the earlier ones
+		// is not known here.
+		e = entries[sched.CodeUnknownEarlier]
+		text = e.Name + ": " + e.Meaning + " Reason: " + text
+	}
+	p.head(w, q, e.Code)
 	if f.field != "" {
 		text += " Field: " + f.field + "."
 	}
@@ -60,7 +67,7 @@
 	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	w.WriteHeader(e.Status)
 	_, _ = io.WriteString(w, text+"\n")
-	p.count(q, f.code)
+	p.count(q, e.Code)
 }
 
 // repeat answers a request whose id another claim holds, or that was refused.
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -83,7 +83,7 @@
 	defer p.running.Add(-1)
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
-		p.refuse(w, nil, refusal{code: sched.CodeDraining})
+		p.refuse(w, &request{repeat: isRepeat(r.Header)}, refusal{code: sched.CodeDraining})
 		return
 	}
 	q, f := p.read(w, r)
@@ -122,6 +122,8 @@
 		p.repeat(w, q, v, a)
 		return
 	}
+	// A granted claim proves that no earlier send of the id ran or will run.
+	q.repeat = false
 	if c.Err() != nil {
 		p.Claims.Abandon(c, v.Claim)
 		p.refuse(w, q, refusal{code: sched.CodeDeadlineTooShort})
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -218,3 +218,27 @@
 	is.True(counts[sched.CodeAnswered] <= ran)
 	is.True(ran <= counts[sched.CodeAnswered]+counts[sched.CodeUnknown])
 }
+
+// Guards against "not run" for an id that an earlier send did run: an instance
+// that refuses before it has read the log knows nothing of it.
+func TestRefusalOfARepeatIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	first := newRig(t, 1)
+	second := first.another(t)
+	id := newID()
+	_, _, err := first.call(t, "x", sched.HeaderUnrepeatable, "true", sched.HeaderRequestID, id)
+	is.NoErr(err)
+	is.NoErr(second.Drain(t.Context()))
+	for _, row := range []struct {
+		id, repeat, outcome string
+	}{
+		{id, "true", "unknown"},
+		{newID(), "true", "unknown"},
+		{newID(), "false", "refusedNotRun"},
+	} {
+		a, _, err := second.call(t, "x", sched.HeaderUnrepeatable, "true", sched.HeaderRequestID, row.id, sched.HeaderRepeat, row.repeat)
+		is.NoErr(err)
+		is.Equal(a.Header.Get(sched.HeaderOutcome), row.outcome)
+	}
+	is.Equal(first.ran(id), 1)
+}
--- a/internal/request/proxy/read.go
+++ b/internal/request/proxy/read.go
@@ -26,6 +26,8 @@
 	sched.Request
 	retry   *retry.Policy
 	started time.Time
+	// repeat is set if the caller sent the same unrepeatable id before.
+	repeat bool
 }
 
 // refusal is the reason why a request did not run.
@@ -81,18 +83,18 @@
 	now := p.Clock.Now()
 	n := p.rulesInForce()
 	if n == nil {
-		return nil, refusal{code: sched.CodeNotReady, retryAfter: time.Second}
+		return &request{repeat: isRepeat(r.Header)}, refusal{code: sched.CodeNotReady, retryAfter: time.Second}
 	}
 	name, path, ok := splitPath(r.URL.RequestURI())
 	if !ok {
-		return nil, refusal{code: sched.CodeBadRequest, field: "path"}
+		return &request{repeat: isRepeat(r.Header)}, refusal{code: sched.CodeBadRequest, field: "path"}
 	}
 	s := n.services[name]
 	if s == nil {
-		return nil, refusal{code: sched.CodeUnknownService}
+		return &request{repeat: isRepeat(r.Header)}, refusal{code: sched.CodeUnknownService}
 	}
 	h := r.Header
-	q := &request{retry: s.retry, started: now, Request: sched.Request{
+	q := &request{retry: s.retry, started: now, repeat: isRepeat(r.Header), Request: sched.Request{
 		ID: h.Get(sched.HeaderRequestID), Service: name, Partner: h.Get(sched.HeaderPartner),
 		Team: h.Get(sched.HeaderTeam), Urgency: s.Urgency, Method: r.Method, Path: path,
 		Unrepeatable: h.Get(sched.HeaderUnrepeatable) == "true", Deadline: now.Add(s.Timeout),
@@ -113,6 +115,11 @@
 	return q, refusal{}
 }
 
+// isRepeat tells whether the caller sent the same unrepeatable id before.
+func isRepeat(h http.Header) bool {
+	return h.Get(sched.HeaderUnrepeatable) == "true" && h.Get(sched.HeaderRepeat) == "true"
+}
+
 // splitPath cuts /services/<service>/<path> and keeps the query.
 func splitPath(uri string) (name, path string, ok bool) {
 	rest, ok := strings.CutPrefix(uri, PathPrefix)
@@ -138,8 +145,10 @@
 	if partner, known := n.teams[q.Team]; !n.partners[q.Partner] || q.Team != "" && (!known || partner != q.Partner) {
 		return refusal{code: sched.CodeUnknownPartner}
 	}
-	if text := h.Get(sched.HeaderUnrepeatable); text != "" && text != "true" && text != "false" {
-		return refusal{code: sched.CodeBadRequest, field: sched.HeaderUnrepeatable}
+	for _, name := range []string{sched.HeaderUnrepeatable, sched.HeaderRepeat} {
+		if text := h.Get(name); text != "" && text != "true" && text != "false" {
+			return refusal{code: sched.CodeBadRequest, field: name}
+		}
 	}
 	if text := h.Get(sched.HeaderDeadline); text != "" {
 		millis, err := strconv.ParseUint(text, 10, 31)
@@ -209,7 +218,7 @@
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Expect": true, sched.HeaderAttempt: true, sched.HeaderRequestID: true,
-	sched.HeaderUnrepeatable: true,
+	sched.HeaderUnrepeatable: true, sched.HeaderRepeat: true,
 }
 
 func forwarded(h http.Header) http.Header {
--- a/pkg/sched/code.go
+++ b/pkg/sched/code.go
@@ -13,6 +13,7 @@
 	CodeUnknown           Code = 300
 	CodeUnknownInProgress Code = 301
 	CodeAnswerNotKept     Code = 302
+	CodeUnknownEarlier    Code = 303
 	CodeBadRequest        Code = 400
 	CodeUnknownService    Code = 401
 	CodeUnknownPartner    Code = 402
@@ -53,6 +54,7 @@
 		{CodeUnknown, "unknown", 504, "The request may have run."},
 		{CodeUnknownInProgress, "unknownInProgress", 409, "The same unrepeatable id was sent before and has no recorded outcome."},
 		{CodeAnswerNotKept, "answerNotKept", 409, "The same unrepeatable id was answered before, and its answer is not kept."},
+		{CodeUnknownEarlier, "unknownEarlier", 503, "This send did not run, but an earlier send of the same id may have run."},
 		{CodeBadRequest, "badRequest", 400, "The request is malformed; the message names the field."},
 		{CodeUnknownService, "unknownService", 404, "The configuration in force has no such service."},
 		{CodeUnknownPartner, "unknownPartner", 403, "The configuration in force has no such partner or team."},
