Start no resend in the last 50 ms before the deadline

Ruled out: a wrong classification in the pool; the send was really cut. Conclusion: fewer refusals turn into unknown; a send may still be cut if it takes longer than 50 ms, which stays honest.

--- a/pkg/retry/policy.go
+++ b/pkg/retry/policy.go
@@ -11,6 +11,9 @@
 	firstDelay = 2 * time.Millisecond
 	// longestDelay bounds a single wait.
 	longestDelay = 250 * time.Millisecond
+	// leastSendTime has to remain for another send. One that starts later
+	// would likely end by the deadline with an unknown outcome.
+	leastSendTime = 50 * time.Millisecond
 	// spareRetries are allowed to a service that had no traffic before.
 	spareRetries = 10
 	// resendShare bounds the sends that follow refusals, as a share of the
@@ -45,7 +48,8 @@
 
 // Retry takes one retry from the budget and returns the wait before it. sends
 // is the number of sends so far. It returns false if the budget is used up or
-// the wait would pass the deadline.
+// too
+// little time would remain for the send.
 func (p *Policy) Retry(sends int, now, deadline time.Time) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -53,7 +57,7 @@
 		return 0, false
 	}
 	d := p.delay(sends)
-	if !now.Add(d).Before(deadline) {
+	if !now.Add(d + leastSendTime).Before(deadline) {
 		return 0, false
 	}
 	p.tokens--
@@ -61,8 +65,8 @@
 }
 
 // Resend returns the wait before a request that certainly did not run is sent
-// elsewhere. It returns false if the fleet refuses too much or the wait would
-// pass the deadline.
+// elsewhere. It returns false if the fleet refuses too much or too little time
+// would remain for the send.
 func (p *Policy) Resend(sends int, now, deadline time.Time) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -70,7 +74,7 @@
 		return 0, false
 	}
 	d := p.delay(sends)
-	if !now.Add(d).Before(deadline) {
+	if !now.Add(d + leastSendTime).Before(deadline) {
 		return 0, false
 	}
 	p.resends--
