Keep room for urgent tasks and add the policy scenarios of the batch path

An urgent task evicted background tasks, and its room went to another background task as soon as it ended, which the next urgent task evicted again.

--- a/internal/bench/batch/observer.go
+++ b/internal/bench/batch/observer.go
@@ -21,6 +21,10 @@
 	Evictions int
 	// Doubled counts starts of a task that was running elsewhere.
 	Doubled int
+	// LateStarts counts starts of tasks whose cancellation was recorded while
+	// they were queued.
+	LateStarts int
+	withdrawn  map[sched.TaskID]bool
 	// Violations describes breaches of the invariants, up to a limit.
 	Violations []string
 	evictions  map[sched.TaskID]int
@@ -33,6 +37,7 @@
 		FirstStart: map[sched.TaskID]time.Time{},
 		Finishes:   map[sched.TaskID]int{},
 		evictions:  map[sched.TaskID]int{},
+		withdrawn:  map[sched.TaskID]bool{},
 	}
 }
 
@@ -46,6 +51,10 @@
 
 func (o *Observer) started(w *worker, k attemptKey, from sched.CheckpointID) {
 	o.Starts++
+	if o.withdrawn[k.task] {
+		o.LateStarts++
+		o.violation("%s: task %s starts after its cancellation", w.sim.now.Sub(start), k.task)
+	}
 	places := o.running[k.task]
 	if places == nil {
 		places = map[sched.InstanceID]bool{}
@@ -95,6 +104,9 @@
 		o.Evictions++
 		o.evictions[c.Task.Task.ID] = n
 	}
+	if c.Kind == sched.EntryCancelled && c.Task.State == sched.TaskCancelled {
+		o.withdrawn[c.Task.Task.ID] = true
+	}
 	if c.Kind != sched.EntryPlaced {
 		return
 	}
--- /dev/null
+++ b/internal/bench/batch/scenario.go
@@ -0,0 +1,213 @@
+package batch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Scenario is a load with disturbances, run under one policy.
+type Scenario struct {
+	Name string
+	// Spread is the standard deviation of the natural logarithm of the true
+	// run time over the declared one.
+	Spread float64
+	// Urgent is the mean time between two urgent tasks, none if 0.
+	Urgent time.Duration
+	// Disturb plans the disturbances.
+	Disturb func(s *Sim, ids []sched.TaskID)
+	// Usable is the part of the fleet that can carry work, 1 if 0.
+	Usable float64
+}
+
+// Policy is what a scenario compares.
+type Policy struct {
+	Name string
+	// Options changes the planner; may be nil.
+	Options    func(o *plan.Options)
+	AheadDepth int
+}
+
+// Baseline takes the first worker with room, evicts what was placed last and
+// binds nothing ahead.
+func Baseline() Policy {
+	return Policy{Name: "baseline", Options: func(o *plan.Options) {
+		o.NoHold = true
+		o.NewFinder = func(*rand.Rand) plan.Finder { return &firstFit{free: map[sched.InstanceID]sched.Resources{}} }
+		o.Cost = func(v plan.Victim) float64 { return -float64(v.Rank) }
+	}}
+}
+
+// Current is the policy in use.
+func Current() Policy { return Policy{Name: "current", AheadDepth: 2} }
+
+// Result is what a scenario measures.
+type Result struct {
+	// BatchShare is the work that was not lost over what the fleet could
+	// carry.
+	BatchShare float64
+	Evictions  int
+	// Doubled counts starts of a task that ran elsewhere, Lost accepted tasks
+	// that are neither open nor ended with a reason.
+	Doubled int
+	Lost    int
+	// LateStarts counts starts after a recorded cancellation.
+	LateStarts int
+	// UrgentWait is the 99th percentile of the time from the submission of an
+	// urgent task to its start.
+	UrgentWait time.Duration
+}
+
+// Size of the simulated fleet and length of a run.
+const (
+	scenarioWorkers = 40
+	scenarioTasks   = 3000
+	scenarioTime    = time.Hour
+	scenarioRun     = 5 * time.Minute
+	warmUp          = 3 * time.Second
+	workerCapacity  = 16_000
+)
+
+// RunScenario runs a scenario under a policy.
+func RunScenario(c Scenario, p Policy, seed uint64) Result {
+	s := New(c.config(p, seed))
+	s.Run(warmUp)
+	r := rand.New(rand.NewPCG(seed, 3))
+	var ids []sched.TaskID
+	for i := range scenarioTasks {
+		t := sched.Task{
+			ID: sched.TaskID(fmt.Sprintf("task-%d", i)), Kind: "sweep", Partner: "kooperatiba",
+			Team: fmt.Sprintf("team-%d", i%5), Urgency: sched.UrgencyBackground, RunTime: scenarioRun,
+			Needs: sched.Resources{Processors: 1000 * (1 + r.Int64N(6)), Memory: 1 << 30},
+		}
+		ids = append(ids, t.ID)
+		s.Submit(i, t)
+	}
+	submitted := map[sched.TaskID]time.Time{}
+	s.submitUrgent(c.Urgent, r, submitted)
+	if c.Disturb != nil {
+		c.Disturb(s, ids)
+	}
+	s.Run(scenarioTime)
+	return s.result(c, submitted)
+}
+
+func (c Scenario) config(p Policy, seed uint64) Config {
+	members := make([]sched.Member, scenarioWorkers)
+	for i := range members {
+		members[i] = sched.Member{
+			ID: sched.InstanceID(fmt.Sprintf("worker-%02d", i)), Role: sched.RoleWorker, State: sched.StateLive,
+			Rack: fmt.Sprintf("rack-%d", i/8), Capacity: sched.Resources{Processors: workerCapacity, Memory: 60 << 30},
+		}
+	}
+	return Config{
+		Seed: seed, Planners: 3, Workers: members, Options: p.Options,
+		Settings: &sched.Settings{
+			TaskKinds: []sched.TaskKindSettings{{Name: "sweep", MaxAttempts: 3, MaxEvictions: 5}},
+			Limits: sched.LimitSettings{
+				LeaseDuration: 20 * time.Second, ClockBound: 500 * time.Millisecond,
+				IsolationLimit: 30 * time.Minute, ListLag: 10 * time.Second, AheadDepth: p.AheadDepth,
+				DedupWindow: 2 * time.Hour,
+			},
+		},
+		Truth: func(id sched.TaskID, kind string, _ sched.InstanceID) Work {
+			draws := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(id))))
+			run := scenarioRun
+			if kind == "urgent" {
+				run = time.Minute
+			}
+			return Work{RunTime: time.Duration(float64(run) * math.Exp(c.Spread*draws.NormFloat64()))}
+		},
+		Offset: 200 * time.Millisecond,
+	}
+}
+
+// submitUrgent plans urgent tasks as a Poisson process.
+func (s *Sim) submitUrgent(gap time.Duration, r *rand.Rand, submitted map[sched.TaskID]time.Time) {
+	if gap == 0 {
+		return
+	}
+	n := 0
+	at := time.Duration(0)
+	for at < scenarioTime-time.Minute {
+		at += time.Duration(r.ExpFloat64() * float64(gap))
+		n++
+		t := sched.Task{
+			ID: sched.TaskID(fmt.Sprintf("urgent-%d", n)), Kind: "urgent", Partner: "kooperatiba", Team: "desk",
+			Urgency: sched.UrgencyUrgent, RunTime: time.Minute,
+			Needs: sched.Resources{Processors: 1000 * (2 + r.Int64N(6)), Memory: 1 << 30},
+		}
+		s.After(at, func() {
+			submitted[t.ID] = s.now
+			s.Submit(n, t)
+		})
+	}
+}
+
+func (s *Sim) result(c Scenario, submitted map[sched.TaskID]time.Time) Result {
+	usable := c.Usable
+	if usable == 0 {
+		usable = 1
+	}
+	carry := usable * scenarioWorkers * workerCapacity / 1000 * float64(s.now.Sub(start))
+	r := Result{
+		BatchShare: float64(s.Busy()-s.Wasted) / carry,
+		Evictions:  s.Observer.Evictions, Doubled: s.Observer.Doubled, LateStarts: s.Observer.LateStarts,
+	}
+	for id := range s.Accepted {
+		if t, known := s.judge.Task(id); !known || (t.State == sched.TaskFailed && t.Reason == "") {
+			r.Lost++
+		}
+	}
+	var waits []time.Duration
+	for id, at := range submitted {
+		if first, ok := s.Observer.FirstStart[id]; ok {
+			waits = append(waits, first.Sub(at))
+		} else if s.Accepted[id] {
+			waits = append(waits, s.now.Sub(at))
+		}
+	}
+	r.UrgentWait = percentile(waits, 0.99)
+	return r
+}
+
+// firstFit takes the first worker with room, in the order in which workers
+// became known.
+type firstFit struct {
+	order []sched.InstanceID
+	free  map[sched.InstanceID]sched.Resources
+}
+
+// Set implements plan.Finder.
+func (f *firstFit) Set(id sched.InstanceID, _ string, free sched.Resources) {
+	if _, known := f.free[id]; !known {
+		f.order = append(f.order, id)
+	}
+	f.free[id] = free
+}
+
+// Remove implements plan.Finder.
+func (f *firstFit) Remove(id sched.InstanceID) {
+	if _, known := f.free[id]; known {
+		f.free[id] = sched.Resources{}
+	}
+}
+
+// Count implements plan.Finder.
+func (f *firstFit) Count(_, _, _ string, _ int) {}
+
+// Find implements plan.Finder.
+func (f *firstFit) Find(t *sched.Task) (sched.InstanceID, bool) {
+	for _, id := range f.order {
+		if t.Needs.Fits(f.free[id]) {
+			return id, true
+		}
+	}
+	return "", false
+}
--- a/internal/bench/batch/sim.go
+++ b/internal/bench/batch/sim.go
@@ -85,6 +85,8 @@
 	Accepted map[sched.TaskID]bool
 	// Replies counts the answers to submissions and cancellations by code.
 	Replies map[sched.Code]int
+	// Wasted is the processor time of attempts whose work was lost.
+	Wasted time.Duration
 	// Appends and AppendBytes count what reached the log.
 	Appends     int
 	AppendBytes int
--- a/internal/bench/batch/worker.go
+++ b/internal/bench/batch/worker.go
@@ -65,6 +65,7 @@
 	w.account()
 	for k, a := range w.attempts {
 		if a.state == sched.AttemptRunning {
+			w.waste(a)
 			w.sim.Observer.ended(k, w.member.ID)
 		}
 	}
@@ -235,12 +236,20 @@
 
 func (w *worker) progress(a *attempt) time.Duration { return a.before + w.sim.now.Sub(a.began) }
 
+// waste adds up work that is lost.
+func (w *worker) waste(a *attempt) {
+	w.sim.Wasted += w.sim.now.Sub(a.began) * time.Duration(a.command.Needs.Processors) / 1000
+}
+
 // end moves an attempt to a state in which it never runs again.
 func (w *worker) end(k attemptKey, a *attempt, s sched.AttemptState, reason string) {
 	if a.state == sched.AttemptRunning {
 		w.account()
 		a.progress = w.progress(a)
 		w.used = w.used.Minus(a.command.Needs)
+		if s != sched.AttemptDone && s != sched.AttemptCheckpointed {
+			w.waste(a)
+		}
 		w.sim.Observer.ended(k, w.member.ID)
 	}
 	if i := slices.Index(w.waiting, k); i >= 0 {
--- a/pkg/plan/decide.go
+++ b/pkg/plan/decide.go
@@ -60,7 +60,7 @@
 	case sched.EntryAccepted:
 		p.queue.Add(c.Task)
 	case sched.EntryPlaced:
-		p.direct.Count(c.Worker.Rack, c.Task.Task.Team, c.Task.Task.Kind, 1)
+		p.countTask(c.Worker.WorkerStatus, &c.Task.Task, 1)
 		p.touch(c.Worker.Worker)
 	case sched.EntryEnded, sched.EntryExpired:
 		p.attemptOver(c)
@@ -78,7 +78,10 @@
 func (p *Planner) attemptOver(c *ledger.Change) {
 	t := c.Task
 	if c.Worker != nil {
-		p.direct.Count(c.Worker.Rack, t.Task.Team, t.Task.Kind, -1)
+		p.countTask(c.Worker.WorkerStatus, &t.Task, -1)
+		if t.Task.Urgency == sched.UrgencyUrgent {
+			p.keepRoom(c.Worker.Worker, t.Task.Needs)
+		}
 		p.touch(c.Worker.Worker)
 		if s := p.options.Suspects; s != nil && c.Kind == sched.EntryEnded {
 			s.Ended(p.now, c.Worker.Worker, t.Task.ID, t.Task.Kind, c.Result)
@@ -100,6 +103,15 @@
 	}
 }
 
+// countTask follows a task that was put on a worker (1) or left it (-1).
+func (p *Planner) countTask(w sched.WorkerStatus, t *sched.Task, change int) {
+	p.direct.Count(w.Rack, t.Team, t.Kind, change)
+	p.express.Count(w.Rack, t.Team, t.Kind, change)
+	if t.Urgency == sched.UrgencyUrgent {
+		p.urgentOn[w.Worker] += change
+	}
+}
+
 func (p *Planner) delay(t *sched.TaskStatus, until time.Time) {
 	p.delayed = append(p.delayed, delayed{t.Task.ID, until})
 }
@@ -119,12 +131,15 @@
 	w, known := p.ledger.Worker(id)
 	if !known || n == nil || !n.takesTasks() || w.Drained || p.avoided(id) {
 		p.direct.Remove(id)
+		p.express.Remove(id)
 		p.ahead.Remove(id)
 		p.reserve.Remove(id)
 		return
 	}
 	o := p.overlay[id]
-	p.direct.Set(id, w.Rack, w.Free().Minus(o.direct).Minus(o.ahead))
+	free := w.Free().Minus(o.direct).Minus(o.ahead)
+	p.express.Set(id, w.Rack, free)
+	p.direct.Set(id, w.Rack, free.Minus(p.held[id]))
 	room := w.Capacity.Minus(w.Bound).Minus(o.ahead)
 	bound := w.Waiting + o.bound
 	depth := p.settings.Limits.AheadDepth
@@ -132,8 +147,11 @@
 	p.setAhead(p.reserve, w, room, bound <= depth)
 }
 
+// setAhead opens a worker for bound tasks. Workers with urgent tasks get none,
+// as a bound task would take the room before the next urgent one.
 func (p *Planner) setAhead(f Finder, w *ledger.Worker, room sched.Resources, open bool) {
-	if open && !p.claimed[w.Worker] {
+	_, held := p.held[w.Worker]
+	if open && !p.claimed[w.Worker] && !held && p.urgentOn[w.Worker] == 0 {
 		f.Set(w.Worker, w.Rack, room)
 		return
 	}
@@ -160,7 +178,7 @@
 func (p *Planner) countPlaced() {
 	p.ledger.EachOpen(func(t *sched.TaskStatus) {
 		if w, ok := p.ledger.Worker(t.Worker); ok {
-			p.direct.Count(w.Rack, t.Task.Team, t.Task.Kind, 1)
+			p.countTask(w.WorkerStatus, &t.Task, 1)
 		}
 	})
 	p.refreshAll()
@@ -169,6 +187,7 @@
 // schedule makes the decisions that are due.
 func (p *Planner) schedule() {
 	p.expireLost()
+	p.endHolds()
 	p.releaseDelayed()
 	p.interfere()
 	p.useClaims()
@@ -235,7 +254,11 @@
 	if !p.withinQuota(&t.Task) {
 		return place.NoRoom
 	}
-	if w, found := p.direct.Find(&t.Task); found {
+	finder := p.direct
+	if t.Task.Urgency == sched.UrgencyUrgent {
+		finder = p.express
+	}
+	if w, found := finder.Find(&t.Task); found {
 		p.decide(t, w, false)
 		return place.Taken
 	}
@@ -283,6 +306,9 @@
 		Kind: sched.EntryPlaced, TaskID: t.Task.ID, Attempt: t.Attempt + 1, Worker: worker,
 		Term: p.book.Term(), Ahead: ahead, Quota: p.quotas[t.Task.Team],
 	})
+	if t.Task.Urgency == sched.UrgencyUrgent && !ahead {
+		p.useHold(worker)
+	}
 	p.plans[t.Task.ID] = decision{worker, t.Task.Team, needs, ahead}
 	p.teams[t.Task.Team] = p.teams[t.Task.Team].Plus(needs)
 	o := p.overlay[worker]
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -23,6 +23,8 @@
 	// Both may be nil.
 	NewFinder func(*rand.Rand) Finder
 	Cost      func(Victim) float64
+	// NoHold gives the room of an urgent task away as soon as it ends.
+	NoHold bool
 	// SnapshotEvery is the number of records between snapshots, 20,000 if 0.
 	SnapshotEvery int
 }
@@ -86,12 +88,17 @@
 	queue     *place.Queue
 	estimator *place.Estimator
 	direct    Finder
+	express   Finder // for urgent tasks, held room included
 	ahead     Finder
 	reserve   Finder
 	plans     map[sched.TaskID]decision
 	overlay   map[sched.InstanceID]overlay
 	teams     map[string]sched.Resources
 	delayed   []delayed
+	holds     []hold
+	held      map[sched.InstanceID]sched.Resources
+	heldTotal sched.Resources
+	urgentOn  map[sched.InstanceID]int
 	claims    []claim
 	claimed   map[sched.InstanceID]bool
 	total     sched.Resources
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -157,7 +157,10 @@
 		}
 		return place.NewIndex(p.random, score)
 	}
-	p.direct, p.ahead, p.reserve = finder(), finder(), finder()
+	p.direct, p.express, p.ahead, p.reserve = finder(), finder(), finder(), finder()
+	p.holds, p.heldTotal = nil, sched.Resources{}
+	p.held = map[sched.InstanceID]sched.Resources{}
+	p.urgentOn = map[sched.InstanceID]int{}
 	p.plans = map[sched.TaskID]decision{}
 	p.overlay = map[sched.InstanceID]overlay{}
 	p.teams = map[string]sched.Resources{}
