--- a/internal/bench/batch/disturb.go
+++ b/internal/bench/batch/disturb.go
@@ -12,7 +12,7 @@
 	disturbAt    = 10 * time.Minute
 	outage       = 10 * time.Minute
 	badWorkers   = 4 // of 40
-	waveShare    = 2 // every second task is cancelled
+	waveShare    = 2 // every second task is withdrawn
 	urgentGap    = 6 * time.Second
 	largeSpread  = 1.2
 	normalSpread = 0.4
