Add the interference model and its benchmark scenario

Cause: the planner's Interference had no implementation, and its effect was not measured. Change: coloc.Model learns the rise per service and task kind with a Kalman filter and controls with throttle, then evict; bench/mixed runs the planner next to services on stand-in workers whose reports lag. AttemptReport names the task kind.

--- /dev/null
+++ b/internal/bench/mixed/scenario.go
@@ -0,0 +1,209 @@
+package mixed
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/worker"
+	"github.com/parsleybarrow/parsleybarrow/pkg/coloc"
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Service is a latency-critical service with a number of workers of its own.
+// Its load swings around a mean with a period.
+type Service struct {
+	Name    string
+	Workers int
+	Load    float64
+	Swing   float64
+	Period  time.Duration
+	// Median and Sigma describe the log-normal service time without tasks.
+	Median time.Duration
+	Sigma  float64
+}
+
+func (s Service) alone() time.Duration {
+	const z99 = 2.326 // of the standard normal distribution
+	return time.Duration(float64(s.Median) * math.Exp(z99*s.Sigma))
+}
+
+// Kind is a kind of batch task. Weight is its part of the tasks.
+type Kind struct {
+	Name           string
+	Weight         float64
+	RunTime        time.Duration
+	Sigma          float64
+	MostProcessors int64
+}
+
+// Scenario is a fleet with its services, tasks and interference.
+type Scenario struct {
+	Services []Service
+	Kinds    []Kind
+	Impacts  []worker.Impact
+	Capacity sched.Resources
+	Lag      time.Duration
+	Noise    float64
+	Queue    int
+	Time     time.Duration
+}
+
+// Interference is the scenario of the benchmark. Which pair disturbs differs
+// between the services, so a policy that knows the pairs can find a place for
+// almost every task.
+func Interference() Scenario {
+	service := func(name string, workers int) Service {
+		return Service{name, workers, 0.55, 0.3, time.Hour, 8 * time.Millisecond, 0.5}
+	}
+	return Scenario{
+		Services: []Service{service("simdesk", 12), service("wellrec", 8), service("mapview", 4)},
+		Kinds: []Kind{
+			{"sweep", 0.6, 2 * time.Minute, 0.5, 3},
+			{"roomModel", 0.2, 5 * time.Minute, 0.5, 4},
+			{"reconcile", 0.2, 5 * time.Minute, 0.5, 4},
+		},
+		Impacts: []worker.Impact{
+			{Service: "simdesk", Kind: "sweep", Rise: 0.01},
+			{Service: "simdesk", Kind: "roomModel", Rise: 0.25},
+			{Service: "simdesk", Kind: "reconcile", Rise: 0.04},
+			{Service: "wellrec", Kind: "sweep", Rise: 0.03},
+			{Service: "wellrec", Kind: "roomModel", Rise: 0.02},
+			{Service: "wellrec", Kind: "reconcile", Rise: 0.3},
+			{Service: "mapview", Kind: "roomModel", Rise: 0.05},
+			{Service: "mapview", Kind: "reconcile", Rise: 0.05},
+		},
+		Capacity: sched.Resources{Processors: 12_000, Memory: 45 << 30},
+		Lag:      5 * time.Second, Noise: 0.15, Queue: 60, Time: 2 * time.Hour,
+	}
+}
+
+func (s Scenario) truths() []worker.KindTruth {
+	var list []worker.KindTruth
+	for _, k := range s.Kinds {
+		list = append(list, worker.KindTruth{Kind: k.Name, Median: k.RunTime, Sigma: k.Sigma})
+	}
+	return list
+}
+
+func (s Scenario) kindSettings() []sched.TaskKindSettings {
+	var list []sched.TaskKindSettings
+	for _, k := range s.Kinds {
+		list = append(list, sched.TaskKindSettings{Name: k.Name, MaxAttempts: 3, MaxEvictions: 5})
+	}
+	return list
+}
+
+func (s Scenario) draw(r *rand.Rand) Kind {
+	at := r.Float64()
+	for _, k := range s.Kinds {
+		if at -= k.Weight; at < 0 {
+			return k
+		}
+	}
+	return s.Kinds[len(s.Kinds)-1]
+}
+
+// Policy is what a scenario compares.
+type Policy struct {
+	Name    string
+	Options func(o *plan.Options, s Scenario)
+}
+
+// Current is the policy in use.
+func Current() Policy {
+	return Policy{"current", func(o *plan.Options, _ Scenario) { o.Interference = coloc.New(coloc.Options{}) }}
+}
+
+// Result is what a scenario measures.
+type Result struct {
+	// P99Ratio is the 99th percentile of a service's response time over that
+	// without tasks, of the service that suffers most.
+	P99Ratio float64
+	// Ratios holds the same for each service, in the scenario's order.
+	Ratios []float64
+	// BatchShare is the processor time that tasks used over what the workers
+	// have for them.
+	BatchShare float64
+	// Evictions counts attempts that were ended before they were done.
+	Evictions int
+}
+
+// Run runs a scenario under a policy, from a state in which nothing is known.
+func Run(s Scenario, p Policy, seed uint64) (Result, error) {
+	x := newSim(s, p, seed)
+	measure := newMeter(s, seed)
+	steps := int(s.Time / tick)
+	for n := range steps {
+		if err := x.step(n); err != nil {
+			return Result{}, fmt.Errorf("step %d: %w", n, err)
+		}
+		if n%int(time.Second/tick) == 0 {
+			measure.take(x)
+		}
+	}
+	return measure.result(x), nil
+}
+
+// meter draws the response times of requests next to what runs.
+type meter struct {
+	scenario Scenario
+	random   *rand.Rand
+	with     []*hdrhistogram.Histogram
+	alone    []*hdrhistogram.Histogram
+	working  float64
+	capacity float64
+}
+
+const (
+	// requestsPerSecond is the number of measured requests of one worker at
+	// full load.
+	requestsPerSecond = 20
+	longestResponse   = int64(time.Minute / time.Microsecond)
+	digits            = 3
+)
+
+func newMeter(s Scenario, seed uint64) *meter {
+	m := &meter{scenario: s, random: rand.New(rand.NewPCG(seed, 3))}
+	for range s.Services {
+		m.with = append(m.with, hdrhistogram.New(1, longestResponse, digits))
+		m.alone = append(m.alone, hdrhistogram.New(1, longestResponse, digits))
+	}
+	return m
+}
+
+// take measures one second.
+func (m *meter) take(x *sim) {
+	n := 0
+	for i, s := range m.scenario.Services {
+		for range s.Workers {
+			w := x.pool.Worker(x.members[n].ID)
+			n++
+			m.working += w.Working()
+			m.capacity += float64(m.scenario.Capacity.Processors)
+			slow := w.Slowdown(s.Name)
+			for range int(requestsPerSecond * w.Load(s.Name)) {
+				t := float64(s.Median/time.Microsecond) * math.Exp(s.Sigma*m.random.NormFloat64())
+				// A value beyond the range is not counted; it can't occur here.
+				_ = m.alone[i].RecordValue(int64(t))
+				_ = m.with[i].RecordValue(int64(t * slow))
+			}
+		}
+	}
+}
+
+func (m *meter) result(x *sim) Result {
+	const p99 = 99
+	c := x.pool.Observer().Counts()
+	r := Result{BatchShare: m.working / m.capacity, Evictions: c.Checkpointed + c.Stopped}
+	for i := range m.scenario.Services {
+		ratio := float64(m.with[i].ValueAtQuantile(p99)) / float64(m.alone[i].ValueAtQuantile(p99))
+		r.Ratios = append(r.Ratios, ratio)
+		r.P99Ratio = max(r.P99Ratio, ratio)
+	}
+	return r
+}
--- a/internal/bench/policy_test.go
+++ b/internal/bench/policy_test.go
@@ -6,4 +6,5 @@
 // has its own file.
 func BenchmarkPolicy(b *testing.B) {
 	benchmarkBatch(b)
+	benchmarkMixed(b)
 }
--- a/internal/standin/worker/measure.go
+++ b/internal/standin/worker/measure.go
@@ -46,6 +46,33 @@
 	return 1
 }
 
+// Load returns the load of a service, 0 if it is not on the worker.
+func (w *Worker) Load(service string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range w.services {
+		if l.Service == service {
+			return l.Load
+		}
+	}
+	return 0
+}
+
+// Working returns the processors that running tasks use now, in thousandths;
+// a throttled task counts with its share.
+func (w *Worker) Working() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle(w.pool.config.Clock.Now())
+	sum := 0.0
+	for _, a := range w.attempts {
+		if a.state == sched.AttemptRunning {
+			sum += a.share * float64(a.command.Needs.Processors)
+		}
+	}
+	return sum
+}
+
 func (w *Worker) slowdown(l Load) float64 {
 	sum := 1.0
 	for _, a := range w.attempts {
@@ -111,7 +138,7 @@
 	for k, a := range w.attempts {
 		a.advance(w.now)
 		r.Attempts = append(r.Attempts, sched.AttemptReport{
-			Task: k.task, Attempt: k.attempt, State: a.state, Checkpoint: a.checkpoint,
+			Task: k.task, Attempt: k.attempt, State: a.state, Checkpoint: a.checkpoint, TaskKind: a.command.TaskKind,
 			Progress: a.progress, Usage: seen.usage[k], Reason: a.reason,
 		})
 	}
--- a/internal/wire/pjson/worker.go
+++ b/internal/wire/pjson/worker.go
@@ -29,6 +29,7 @@
 	Attempt       sched.Attempt      `json:"attempt"`
 	State         string             `json:"state"`
 	Checkpoint    sched.CheckpointID `json:"checkpoint,omitempty"`
+	TaskKind      string             `json:"taskKind,omitempty"`
 	ProgressNanos time.Duration      `json:"progressNanos,omitempty"`
 	Usage         resourcesJSON      `json:"usage,omitzero"`
 	Reason        string             `json:"reason,omitempty"`
@@ -94,7 +95,7 @@
 	j := reportJSON{Worker: r.Worker, Boot: r.Boot, Term: r.Term, LeaseUntil: r.LeaseUntil, MeasuredAt: r.MeasuredAt}
 	for _, a := range r.Attempts {
 		j.Attempts = append(j.Attempts, attemptJSON{
-			a.Task, a.Attempt, attemptNames.byNum[a.State], a.Checkpoint,
+			a.Task, a.Attempt, attemptNames.byNum[a.State], a.Checkpoint, a.TaskKind,
 			a.Progress, resourcesJSON(a.Usage), a.Reason,
 		})
 	}
@@ -120,7 +121,7 @@
 			return sched.WorkerReport{}, fmt.Errorf("attempt %d: %w", n, err)
 		}
 		r.Attempts = append(r.Attempts, sched.AttemptReport{
-			Task: a.Task, Attempt: a.Attempt, State: state, Checkpoint: a.Checkpoint,
+			Task: a.Task, Attempt: a.Attempt, State: state, Checkpoint: a.Checkpoint, TaskKind: a.TaskKind,
 			Progress: a.ProgressNanos, Usage: sched.Resources(a.Usage), Reason: a.Reason,
 		})
 	}
--- /dev/null
+++ b/pkg/coloc/save.go
@@ -0,0 +1,169 @@
+package coloc
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Fields of the saved scores, which have the form of the protobuf messages
+//
+//	message Scores  { repeated Service services = 1; }
+//	message Service { string name = 1; double scale = 2; repeated Coefficient coefficients = 3; }
+//	message Coefficient { string kind = 1; float mean = 2; float variance = 3; }
+//
+// The first two coefficients of a service are the fixed ones, with empty
+// kinds. Correlations are not saved; they are learned anew.
+const (
+	fieldServices     = 1
+	fieldName         = 1
+	fieldScale        = 2
+	fieldCoefficients = 3
+	fieldMean         = 2
+	fieldVariance     = 3
+)
+
+var errScores = errors.New("malformed interference scores")
+
+// Save returns the learned scores, without what is known of single workers.
+func (m *Model) Save() []byte {
+	var out []byte
+	for _, name := range slices.Sorted(maps.Keys(m.filters)) {
+		f := m.filters[name]
+		kinds := make([]string, len(f.mean))
+		for k, n := range f.kinds {
+			kinds[n] = k
+		}
+		b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
+		b = protowire.AppendString(b, name)
+		b = protowire.AppendTag(b, fieldScale, protowire.Fixed64Type)
+		b = protowire.AppendFixed64(b, math.Float64bits(f.scale))
+		for n, kind := range kinds {
+			c := protowire.AppendTag(nil, fieldName, protowire.BytesType)
+			c = protowire.AppendString(c, kind)
+			c = protowire.AppendTag(c, fieldMean, protowire.Fixed32Type)
+			c = protowire.AppendFixed32(c, math.Float32bits(float32(f.mean[n])))
+			c = protowire.AppendTag(c, fieldVariance, protowire.Fixed32Type)
+			c = protowire.AppendFixed32(c, math.Float32bits(float32(f.cov[n][n])))
+			b = protowire.AppendTag(b, fieldCoefficients, protowire.BytesType)
+			b = protowire.AppendBytes(b, c)
+		}
+		out = protowire.AppendTag(out, fieldServices, protowire.BytesType)
+		out = protowire.AppendBytes(out, b)
+	}
+	return out
+}
+
+// Load replaces the learned scores. Scores that can't be read are left out and
+// learned anew.
+func (m *Model) Load(scores []byte) {
+	filters, err := decode(scores)
+	if err != nil {
+		filters = map[string]*filter{}
+	}
+	m.filters = filters
+}
+
+func decode(data []byte) (map[string]*filter, error) {
+	filters := map[string]*filter{}
+	err := fields(data, func(n protowire.Number, v []byte, _ uint64) error {
+		if n != fieldServices {
+			return nil
+		}
+		name, f, err := decodeService(v)
+		filters[name] = f
+		return err
+	})
+	return filters, err
+}
+
+func decodeService(data []byte) (string, *filter, error) {
+	name, seen := "", 0
+	f := newFilter(0, time.Time{})
+	err := fields(data, func(n protowire.Number, v []byte, bits uint64) error {
+		switch int(n) {
+		case fieldName:
+			name = string(v)
+		case fieldScale:
+			f.scale = math.Float64frombits(bits)
+		case fieldCoefficients:
+			seen++
+			return f.decodeCoefficient(seen-1, v)
+		}
+		return nil
+	})
+	if err == nil && (name == "" || seen < atKinds || !(f.scale > 0) || math.IsInf(f.scale, 0)) {
+		err = errScores
+	}
+	return name, f, err
+}
+
+func (f *filter) decodeCoefficient(n int, data []byte) error {
+	kind, mean, variance := "", 0.0, 0.0
+	err := fields(data, func(n protowire.Number, v []byte, bits uint64) error {
+		switch int(n) {
+		case fieldName:
+			kind = string(v)
+		case fieldMean:
+			mean = float64(math.Float32frombits(uint32(bits)))
+		case fieldVariance:
+			variance = float64(math.Float32frombits(uint32(bits)))
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if n >= atKinds {
+		if n = f.index(kind); n < 0 {
+			return errScores
+		}
+	}
+	if !(math.Abs(mean) <= maxCoefficient) || !(variance >= 0 && variance <= maxCoefficient) {
+		return fmt.Errorf("%w: kind %q has mean %v, variance %v", errScores, kind, mean, variance)
+	}
+	f.mean[n], f.cov[n][n] = mean, variance
+	return nil
+}
+
+// maxCoefficient bounds what is read, far beyond any real latency ratio.
+const maxCoefficient = 1e6
+
+// fields calls f for each field of a message, with the bytes or the bits of
+// its value.
+func fields(data []byte, f func(n protowire.Number, v []byte, bits uint64) error) error {
+	for len(data) > 0 {
+		num, kind, n := protowire.ConsumeTag(data)
+		if n < 0 {
+			return fmt.Errorf("%w: %w", errScores, protowire.ParseError(n))
+		}
+		data = data[n:]
+		var v []byte
+		var bits uint64
+		switch kind {
+		case protowire.BytesType:
+			v, n = protowire.ConsumeBytes(data)
+		case protowire.Fixed64Type:
+			bits, n = protowire.ConsumeFixed64(data)
+		case protowire.Fixed32Type:
+			var b uint32
+			b, n = protowire.ConsumeFixed32(data)
+			bits = uint64(b)
+		default:
+			n = protowire.ConsumeFieldValue(num, kind, data)
+		}
+		if n < 0 {
+			return fmt.Errorf("%w: %w", errScores, protowire.ParseError(n))
+		}
+		if err := f(num, v, bits); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -73,6 +73,9 @@
 	Attempt    Attempt
 	State      AttemptState
 	Checkpoint CheckpointID
+	// TaskKind is the kind that the command named, empty if the worker doesn't
+	// know it.
+	TaskKind string
 	// Progress is the run time that the attempt has completed, checkpoints
 	// included.
 	Progress time.Duration
