Keep disturbing tasks off workers without headroom

Change: place.Index treats a score above 1 as no room, as its doc comment says; plan tells an Interference that is a Placer of its placements; coloc keeps knowledge for 12 h, aims at 1.2 times the latency alone, gives a worker's own deviation less weight and loosens throttles closer to the goal. A kind that disturbs every service is rated as if throttled, so that it starts.

--- a/pkg/coloc/control.go
+++ b/pkg/coloc/control.go
@@ -14,8 +14,8 @@
 	// what the prediction must stay below for a throttle to be loosened. The
 	// distance between upper and relaxed is the hysteresis.
 	upper   = 1.0
-	aim     = 0.95
-	relaxed = 0.9
+	aim     = 0.97
+	relaxed = 0.95
 	// leastShare is the lowest share of a throttled task: below it a task
 	// holds its memory for nothing, and evicting it is better.
 	leastShare = 0.25
--- a/pkg/coloc/filter.go
+++ b/pkg/coloc/filter.go
@@ -17,7 +17,7 @@
 	riseMean = 0.05
 	// forgetTime is the time in which unused knowledge of a coefficient decays
 	// to the prior.
-	forgetTime = 2 * time.Hour
+	forgetTime = 12 * time.Hour
 	// clip bounds how far a sample can be off, in standard deviations, so that
 	// one outlier moves little.
 	clip = 2.0
--- a/pkg/coloc/host.go
+++ b/pkg/coloc/host.go
@@ -15,7 +15,7 @@
 	pendingTime = 15 * time.Second
 	// biasRate is the weight of one sample in a worker's own deviation from
 	// the model, biasBound the largest deviation.
-	biasRate  = 0.15
+	biasRate  = 0.05
 	biasBound = 0.3
 	// peakDecay is the part of the distance between load and its remembered
 	// peak that is forgotten per sample.
--- a/pkg/coloc/model.go
+++ b/pkg/coloc/model.go
@@ -22,7 +22,7 @@
 
 // DefaultRatio leaves a part of the target of 1.2 for what happens within the
 // lag of the measurements.
-const DefaultRatio = 1.15
+const DefaultRatio = 1.2
 
 // Model learns and controls. It is not safe for concurrent use.
 type Model struct {
@@ -126,6 +126,10 @@
 	// negligible is a rise that uses no headroom worth counting, as a part of
 	// the goal.
 	negligible = 0.005
+	// usualLoad is the load at which a kind must fit next to some service, or
+	// else it is placed as if throttled: a kind that disturbs every service
+	// would never start.
+	usualLoad = 0.5
 	// worstScore bounds a score.
 	worstScore = 4.0
 )
@@ -141,6 +145,10 @@
 	}
 	worst := 0.0
 	shares := h.shares()
+	part := 1.0
+	if !m.fitsSomewhere(kind) {
+		part = leastShare // it can only run throttled, wherever it is
+	}
 	for name, l := range h.services {
 		f := m.filters[name]
 		if f == nil {
@@ -149,7 +157,7 @@
 		mean, sd := f.rise(kind)
 		load := max(l.load, l.peak)
 		goal := m.goal(name, f, load)
-		add := (mean + caution*sd) * load
+		add := (mean + caution*sd) * load * part
 		if add < negligible*goal {
 			continue
 		}
@@ -163,6 +171,18 @@
 	return worst
 }
 
+// fitsSomewhere tells whether the headroom of some service without any task is
+// enough for a task of the kind at full share.
+func (m *Model) fitsSomewhere(kind string) bool {
+	for name, f := range m.filters {
+		mean, sd := f.rise(kind)
+		if (mean+caution*sd)*usualLoad <= m.goal(name, f, usualLoad)-f.alone(usualLoad) {
+			return true
+		}
+	}
+	return false
+}
+
 // Rise returns the learned rise of a service's latency by one task of a kind
 // at full load and share, relative to the latency alone, and its standard
 // deviation.
--- a/pkg/place/index.go
+++ b/pkg/place/index.go
@@ -169,13 +169,14 @@
 		from := x.random.IntN(len(x.cells[c]))
 		for k := range x.cells[c] {
 			s := x.cells[c][(from+k)%len(x.cells[c])]
-			if !t.Needs.Fits(s.free) {
+			score := x.rate(s, t)
+			if score > avoidAbove || !t.Needs.Fits(s.free) {
 				if missed++; missed >= misses {
 					break
 				}
 				continue
 			}
-			if cost := x.cost(s, t); best == nil || cost < bestCost {
+			if cost := x.cost(s, t, score); best == nil || cost < bestCost {
 				best, bestCost = s, cost
 			}
 			if seen++; seen >= candidates {
@@ -196,13 +197,23 @@
 	spreadWeight       = 0.5
 )
 
+// avoidAbove is the interference score above which a worker has no room for a
+// task: a cost alone sends a disturbing task to whichever worker has room
+// first, where it is throttled and holds the room for longer.
+const avoidAbove = 1.0
+
+func (x *Index) rate(s *slot, t *sched.Task) float64 {
+	if x.score == nil {
+		return 0
+	}
+	return x.score(s.id, t.Kind)
+}
+
 // cost is low for a worker that the task fills well and disturbs little.
-func (x *Index) cost(s *slot, t *sched.Task) float64 {
+func (x *Index) cost(s *slot, t *sched.Task, score float64) float64 {
 	left := s.free.Minus(t.Needs)
 	cost := part(left.Processors, s.free.Processors) + part(left.Memory, s.free.Memory)
-	if x.score != nil {
-		cost += interferenceWeight * x.score(s.id, t.Kind)
-	}
+	cost += interferenceWeight * score
 	if n := x.total[[2]string{t.Team, t.Kind}]; n > 0 {
 		cost += spreadWeight * float64(x.spread[group{t.Team, t.Kind, s.rack}]) / float64(n)
 	}
--- a/pkg/plan/decide.go
+++ b/pkg/plan/decide.go
@@ -318,6 +318,9 @@
 		o.direct = o.direct.Plus(needs)
 	}
 	p.setOverlay(worker, o)
+	if x, ok := p.options.Interference.(Placer); ok && !ahead {
+		x.Placed(p.now, worker, t.Task.ID, t.Attempt+1, t.Task.Kind)
+	}
 }
 
 // undecide ends the hold of a placement, and queues the task if the placement
--- a/pkg/plan/input.go
+++ b/pkg/plan/input.go
@@ -135,6 +135,12 @@
 	Actions(now time.Time) []Action
 }
 
+// Placer is implemented by an Interference that counts placements which no
+// report shows yet.
+type Placer interface {
+	Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string)
+}
+
 // Action throttles or evicts an attempt.
 type Action struct {
 	Worker sched.InstanceID
