Add policy benchmarks and tune admission and routing by them

Change: internal/bench plays floods, silent connections, loss of an instance and slow workers with the real decision code on virtual time.

--- /dev/null
+++ b/internal/bench/policy_test.go
@@ -0,0 +1,80 @@
+package bench_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/bench"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+var scenarios = []bench.Scenario{
+	{Name: "floodBatch", Flood: sched.UrgencyBackground},
+	{Name: "floodUrgent", Flood: sched.UrgencyUrgent},
+	{Name: "floodAll", Load: 5},
+	{Name: "silentConnections", Hang: 0.2},
+	{Name: "instanceLoss", Lose: 1},
+	{Name: "slowWorker", Slow: 6},
+}
+
+var sizes = []int{66, 48}
+
+func measure(b *testing.B, s bench.Scenario, v bench.Variant) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			var sum, calm bench.Report
+			unloaded := bench.Scenario{Measure: sched.UrgencyUrgent}
+			if s.Flood == sched.UrgencyUrgent {
+				unloaded.Measure = sched.UrgencyStandard
+			}
+			for n := range b.N {
+				r := bench.Run(s, v, workers, uint64(n+1))
+				quiet := bench.Run(unloaded, v, workers, uint64(n+1))
+				sum.P99 += r.P99
+				sum.KeptShare += r.KeptShare
+				sum.Served += r.Served
+				sum.Unknown += r.Unknown
+				sum.Amplification += r.Amplification
+				calm.P99 += quiet.P99
+			}
+			n := float64(b.N)
+			b.ReportMetric(float64(sum.P99)/float64(time.Millisecond)/n, "p99Millis")
+			b.ReportMetric(float64(sum.P99)/float64(max(calm.P99, 1)), "p99OverCalm")
+			b.ReportMetric(sum.KeptShare/n, "keptShare")
+			b.ReportMetric(sum.Served/n, "slotsUsed")
+			b.ReportMetric(float64(sum.Unknown)/n, "unknown")
+			b.ReportMetric(sum.Amplification/n, "amplification")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkPolicy compares the real decision code with random choice, no limits
+// and plain retries.
+func BenchmarkPolicy(b *testing.B) {
+	for _, s := range scenarios {
+		for _, v := range []bench.Variant{{Name: "baseline", Baseline: true}, {Name: "current"}} {
+			b.Run(s.Name+"/"+v.Name, func(b *testing.B) { measure(b, s, v) })
+		}
+	}
+}
+
+// BenchmarkSharing compares the ways of sharing slots between instances (D3).
+func BenchmarkSharing(b *testing.B) {
+	for _, s := range []bench.Scenario{
+		{Name: "even", Load: 1.2},
+		{Name: "skewed", Skew: 0.3, Load: 1.1},
+		{Name: "flood", Flood: sched.UrgencyBackground},
+		{Name: "skewedFlood", Flood: sched.UrgencyBackground, Skew: 0.3},
+		{Name: "instanceLoss", Lose: 3, Load: 1.1},
+	} {
+		for _, v := range []bench.Variant{
+			{Name: "fixed", Sharing: bench.SharingFixed},
+			{Name: "demand", Sharing: bench.SharingDemand},
+			{Name: "optimistic", Sharing: bench.SharingOptimistic},
+		} {
+			b.Run(s.Name+"/"+v.Name, func(b *testing.B) { measure(b, s, v) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,303 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/admit"
+	"github.com/parsleybarrow/parsleybarrow/pkg/conns"
+	"github.com/parsleybarrow/parsleybarrow/pkg/retry"
+	"github.com/parsleybarrow/parsleybarrow/pkg/route"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+const (
+	service = "simdesk"
+	// warmUp is left out of the figures; the scenario's fault or flood begins
+	// at its half.
+	warmUp   = 2 * time.Second
+	measured = 6 * time.Second
+	// baseLoad is the load of each class as a part of its guarantee.
+	baseLoad = 0.8
+	// floodFactor is the load of the flood as a multiple of the fleet.
+	floodFactor = 4.0
+	// plainRetries is the number of sends of the baseline.
+	plainRetries = 3
+	unrepeatable = 0.1
+	requestBytes = 2 << 10
+	crossRegion  = 400 << 10
+)
+
+var (
+	shares    = [sched.UrgencyUrgent + 1]float64{0, 0.2, 0.3, 0.5}
+	deadlines = [sched.UrgencyUrgent + 1]time.Duration{0, 4 * time.Second, 2 * time.Second, time.Second}
+)
+
+// Sharing is how instances share the slots of the fleet.
+type Sharing int
+
+// Ways of sharing.
+const (
+	SharingOptimistic Sharing = iota
+	SharingFixed
+	SharingDemand
+)
+
+// Scenario is what happens to the fleet.
+type Scenario struct {
+	Name string
+	// Flood is the class that arrives in excess, 0 for none.
+	Flood sched.Urgency
+	// Hang is the part of the open connections that hang, Lose the number of
+	// instances that die, Slow the number of workers that become slow.
+	Hang float64
+	Lose int
+	Slow int
+	// Skew is the part of the load that the first instance gets, 0 for an
+	// even load.
+	Skew float64
+	// Load multiplies the base load, 0 for 1.
+	Load float64
+	// Measure is the class whose p99 is reported, 0 for the most urgent one
+	// outside the flood.
+	Measure sched.Urgency
+}
+
+// Variant is the policy under comparison.
+type Variant struct {
+	Name     string
+	Baseline bool
+	Sharing  Sharing
+}
+
+// Report holds the figures of one run.
+type Report struct {
+	// P99 is that of the most urgent class outside the flood.
+	P99 time.Duration
+	// KeptShare is the least part of its offered load (which is below its
+	// guarantee) that a class outside the flood gets answered in time.
+	KeptShare float64
+	// Served is the part of all slots that did work.
+	Served        float64
+	Unknown       int
+	Amplification float64
+}
+
+// instance is one entry instance with its real decision code.
+type instance struct {
+	centre  sched.DataCentre
+	dead    bool
+	control *admit.Controller
+	router  *route.Router
+	retry   *retry.Policy
+	links   map[sched.InstanceID]*link
+	waiting map[*admit.Ticket]*call
+	// demand counts arrivals for SharingDemand.
+	demand float64
+}
+
+// call is one request of a caller.
+type call struct {
+	class  sched.Urgency
+	once   bool
+	start  time.Time
+	end    time.Time
+	at     *instance
+	ticket *admit.Ticket
+	tried  []sched.InstanceID
+	sends  int
+	looks  int
+	maybe  bool
+	ended  bool
+}
+
+type run struct {
+	queue
+	scenario  Scenario
+	variant   Variant
+	random    *rand.Rand
+	workers   []*worker
+	byID      map[sched.InstanceID]*worker
+	instances []*instance
+	begin     time.Time
+	took      [sched.UrgencyUrgent + 1][]time.Duration
+	offered   [sched.UrgencyUrgent + 1]int
+	answered  [sched.UrgencyUrgent + 1]int
+	accepted  int
+	sends     int
+	unknown   int
+	busyTime  time.Duration
+}
+
+// Run plays a scenario at a number of workers.
+func Run(s Scenario, v Variant, workers int, seed uint64) Report {
+	r := &run{
+		scenario: s, variant: v, random: rand.New(rand.NewPCG(seed, seed)), workers: makeWorkers(workers),
+		byID: map[sched.InstanceID]*worker{},
+	}
+	r.now = time.Unix(1_800_000_000, 0)
+	r.begin = r.now.Add(warmUp)
+	var members []sched.Member
+	for _, w := range r.workers {
+		r.byID[w.member.ID] = w
+		members = append(members, w.member)
+	}
+	for n := range instances {
+		r.instances = append(r.instances, newInstance(n, members, seed))
+	}
+	capacity := float64(workers*slots) / serviceMean.Seconds()
+	load := baseLoad
+	if s.Load > 0 {
+		load *= s.Load
+	}
+	for u := sched.UrgencyBackground; u <= sched.UrgencyUrgent; u++ {
+		r.arrivals(u, capacity*shares[u]*load, 0)
+	}
+	if s.Flood != 0 {
+		r.arrivals(s.Flood, capacity*floodFactor, warmUp/2)
+	}
+	r.after(warmUp/2, r.fault)
+	if v.Sharing == SharingDemand {
+		r.after(time.Second, r.share)
+	}
+	r.run(r.begin.Add(measured))
+	return r.report()
+}
+
+func newInstance(n int, members []sched.Member, seed uint64) *instance {
+	d := centres[n%len(centres)]
+	i := &instance{
+		centre: d, retry: retry.NewPolicy(0.1, seed+uint64(n)), links: map[sched.InstanceID]*link{},
+		waiting: map[*admit.Ticket]*call{},
+		router:  &route.Router{Region: region(d), DataCentre: d, Seed: seed + uint64(n)*100},
+		control: admit.New(admit.Shares{
+			Classes: shares, Partners: map[string]float64{"tunog": 1}, QueueRequests: 200, QueueBytes: 16 << 20,
+		}, seed+uint64(n)),
+	}
+	i.router.Update(members, instances, crossRegion)
+	i.control.SetCapacity(service, float64(len(members)*slots), float64(len(members)*slots)/instances)
+	for _, m := range members {
+		i.links[m.ID] = &link{byTrack: map[*conns.Conn]*wire{}}
+	}
+	return i
+}
+
+// arrivals generates a Poisson stream of requests.
+func (r *run) arrivals(u sched.Urgency, rate float64, from time.Duration) {
+	var next func()
+	next = func() {
+		r.arrive(u)
+		r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	r.after(from, next)
+}
+
+// choose is the load balancer: it knows dead instances only after a while, so
+// callers retry at once elsewhere.
+func (r *run) choose() *instance {
+	for {
+		n := r.random.IntN(len(r.instances))
+		if r.scenario.Skew > 0 && r.random.Float64() < r.scenario.Skew {
+			n = 0
+		}
+		if i := r.instances[n]; !i.dead {
+			return i
+		}
+	}
+}
+
+func (r *run) arrive(u sched.Urgency) {
+	c := &call{class: u, once: r.random.Float64() < unrepeatable, start: r.now, end: r.now.Add(deadlines[u])}
+	r.enter(c)
+}
+
+func (r *run) enter(c *call) {
+	c.at = r.choose()
+	c.at.demand++
+	c.ticket = &admit.Ticket{
+		Service: service, Partner: "tunog", Urgency: c.class, Bytes: requestBytes, Deadline: c.end,
+	}
+	r.after(c.end.Sub(r.now), func() { r.expire(c) })
+	if r.variant.Baseline {
+		r.send(c)
+		return
+	}
+	o := c.at.control.Offer(c.ticket, r.now)
+	if o.Displaced != nil {
+		r.finish(c.at.waiting[o.Displaced], sched.OutcomeRefusedNotRun)
+	}
+	switch {
+	case o.Granted:
+		r.send(c)
+	case o.Code != 0:
+		r.finish(c, sched.OutcomeRefusedNotRun)
+	default:
+		c.at.waiting[c.ticket] = c
+	}
+}
+
+// finish notes how a request ended and lets the next one in.
+func (r *run) finish(c *call, o sched.Outcome) {
+	if c == nil || c.ended {
+		return
+	}
+	c.ended = true
+	delete(c.at.waiting, c.ticket)
+	if r.now.After(r.begin) {
+		r.offered[c.class]++
+		if c.sends > 0 {
+			r.accepted++
+			r.sends += c.sends
+		}
+		switch o {
+		case sched.OutcomeAnswered:
+			r.answered[c.class]++
+			r.took[c.class] = append(r.took[c.class], r.now.Sub(c.start))
+		case sched.OutcomeUnknown:
+			r.unknown++
+		case sched.OutcomeRefusedNotRun, sched.OutcomeFailed:
+		}
+	}
+	if r.variant.Baseline {
+		return
+	}
+	c.at.control.Cancel(c.ticket)
+	for _, t := range c.at.control.Release(c.ticket, r.now) {
+		r.send(c.at.waiting[t])
+	}
+}
+
+// expire ends a request at its deadline.
+func (r *run) expire(c *call) {
+	if c.ended {
+		return
+	}
+	if c.maybe {
+		r.finish(c, sched.OutcomeUnknown)
+		return
+	}
+	r.finish(c, sched.OutcomeRefusedNotRun)
+}
+
+// report reads the figures.
+func (r *run) report() Report {
+	p := Report{KeptShare: 1, Unknown: r.unknown}
+	for u := sched.UrgencyUrgent; u >= sched.UrgencyBackground; u-- {
+		if u == r.scenario.Flood || r.offered[u] == 0 {
+			continue
+		}
+		measure := r.scenario.Measure == 0 || r.scenario.Measure == u
+		due := min(float64(r.offered[u]), float64(len(r.workers)*slots)*shares[u]*measured.Seconds()/serviceMean.Seconds())
+		p.KeptShare = min(p.KeptShare, float64(r.answered[u])/due)
+		if measure && p.P99 == 0 && len(r.took[u]) > 0 {
+			slices.Sort(r.took[u])
+			p.P99 = r.took[u][len(r.took[u])*99/100]
+		}
+	}
+	p.Served = float64(r.busyTime) / float64(measured) / float64(len(r.workers)*slots)
+	if r.accepted > 0 {
+		p.Amplification = float64(r.sends) / float64(r.accepted)
+	}
+	return p
+}
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -105,7 +105,7 @@
 func (g *Gate) BackendRefused(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.control.BackendRefused(service, g.clock.Now())
+	g.control.BackendRefused(service)
 }
 
 // BackendTook tells that a backend server ran a request.
--- a/pkg/admit/controller.go
+++ b/pkg/admit/controller.go
@@ -84,7 +84,7 @@
 }
 
 // headroom is the part of an unused guarantee that isn't lent.
-const headroom = 0.1
+const headroom = 0.05
 
 // reserved returns the slots that must stay free for classes other than u that
 // use less than their guarantee.
--- a/pkg/admit/group.go
+++ b/pkg/admit/group.go
@@ -59,8 +59,6 @@
 	slots float64
 	limit float64
 	inUse int
-	// cutAt is the time of the last cut of limit.
-	cutAt time.Time
 }
 
 type ticketHeap []*Ticket
--- a/pkg/admit/queue.go
+++ b/pkg/admit/queue.go
@@ -94,26 +94,22 @@
 }
 
 const (
-	// cutFactor is applied to the limit of a service after a refusal, at most
-	// once per cutInterval, since the refusals of one moment have one cause.
-	cutFactor   = 0.95
-	cutInterval = 50 * time.Millisecond
-	// raiseStep is added to the limit per fully used limit of successes.
-	raiseStep = 0.5
+	// cutStep and raiseStep are in slots. Their ratio is the part of refused
+	// sends at which the limit stays where it is: random choice among servers
+	// causes some refusals even when slots are free.
+	cutStep   = 0.5
+	raiseStep = 0.02
 	// smallestPart of the even part remains after cuts, since every instance
 	// may claim its part.
-	smallestPart = 0.5
+	smallestPart = 1.0
 )
 
 // BackendRefused adapts the limit of a service to a refusal of a backend
 // server for lack of slots.
-func (c *Controller) BackendRefused(service string, now time.Time) {
-	p := c.pools[service]
-	if p == nil || now.Sub(p.cutAt) < cutInterval {
-		return
+func (c *Controller) BackendRefused(service string) {
+	if p := c.pools[service]; p != nil {
+		p.limit = max(p.limit-cutStep, p.part*smallestPart, 1)
 	}
-	p.cutAt = now
-	p.limit = max(p.limit*cutFactor, p.part*smallestPart, 1)
 }
 
 // BackendTook adapts the limit of a service to a request that ran, if the limit
@@ -123,7 +119,7 @@
 	if p == nil || float64(p.inUse+1) < p.limit {
 		return
 	}
-	p.limit = min(p.limit+raiseStep/max(p.limit, 1), p.slots)
+	p.limit = min(p.limit+raiseStep, p.slots)
 }
 
 // Limit returns the current limit of a service in slots.
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -16,6 +16,13 @@
 	tiers
 )
 
+// likelyFree is the least expected number of free slots that justifies a send,
+// alike the difference below which servers count as equally free.
+const (
+	likelyFree = 0.75
+	alike      = 0.5
+)
+
 // scanLimit bounds the servers looked at per tier and pick, so that the cost
 // of a pick doesn't grow with the fleet.
 const scanLimit = 64
@@ -24,6 +31,9 @@
 // once: old instances and the ones that replace them.
 const overlap = 2
 
+// startFree is the assumed mean of free slots before a report was seen.
+const startFree = 4
+
 // startAnswerBytes is the assumed size of an answer before one was seen.
 const startAnswerBytes = 16 << 10
 
@@ -74,6 +84,8 @@
 	byTier      [tiers][]*server
 	instances   int
 	answerBytes float64
+	// meanFree is the mean of the free slots in recent reports.
+	meanFree float64
 }
 
 // Update replaces the members and the number of entry instances that may be
@@ -97,7 +109,7 @@
 	for s := range byService {
 		if r.fleets[s] == nil {
 			seed := r.Seed + uint64(len(r.fleets))
-			r.fleets[s] = &fleet{random: rand.New(rand.NewPCG(seed, seed)), answerBytes: startAnswerBytes}
+			r.fleets[s] = &fleet{random: rand.New(rand.NewPCG(seed, seed)), answerBytes: startAnswerBytes, meanFree: startFree}
 		}
 	}
 	for s, f := range r.fleets {
@@ -204,6 +216,7 @@
 	var scores [2]float64
 	top, seen := 0.0, 0
 	start := f.random.IntN(len(list))
+	var probe *server
 	for n := range min(len(list), scanLimit) {
 		s := list[(start+n)%len(list)]
 		if !s.takesWork() {
@@ -213,14 +226,17 @@
 		if s.inFlight >= Bound(s.member, f.instances) || now.Before(s.refusedUntil) || contains(tried, s.member.ID) {
 			continue
 		}
-		e := s.estimate(now)
-		if e < 1 {
+		e := s.estimate(f.meanFree, now)
+		if e < likelyFree {
+			if now.Sub(s.seen) >= knowledgeLife && s.inFlight == 0 && probe == nil {
+				probe = s
+			}
 			continue
 		}
-		if e > top+1 {
+		if e > top+alike {
 			pair, scores, seen = [2]*server{}, [2]float64{}, 0
 		}
-		if e < top-1 {
+		if e < top-alike {
 			continue
 		}
 		top = max(top, e)
@@ -235,6 +251,9 @@
 	if pair[1] != nil && scores[1] > scores[0] {
 		return pair[1], true
 	}
+	if pair[0] == nil {
+		return probe, some
+	}
 	return pair[0], some
 }
 
@@ -258,6 +277,9 @@
 	return true
 }
 
+// freeWeight is the weight of a new report in the mean of free slots.
+const freeWeight = 0.02
+
 // answerWeight is the weight of a new answer in the mean size of answers.
 const answerWeight = 0.05
 
@@ -268,12 +290,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.inFlight--
-	switch {
-	case s.Outcome == sched.OutcomeRefusedNotRun:
-		c.report(max(s.FreeSlots, 0), now)
+	free := s.FreeSlots
+	if s.Outcome == sched.OutcomeRefusedNotRun {
+		free = max(free, 0)
 		c.refusedUntil = now.Add(refusedHold)
-	case s.FreeSlots >= 0:
-		c.report(s.FreeSlots, now)
+	}
+	if free >= 0 {
+		c.report(free, now)
+		f.meanFree += freeWeight * (float64(free) - f.meanFree)
 	}
 	if s.Leaving {
 		c.saidLeaving, c.leavingIncarnation = true, p.Member.Incarnation
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -39,10 +39,13 @@
 	return s.member.State == sched.StateLive
 }
 
-// estimate returns the expected number of free slots. Without fresh knowledge
-// it is a part of the slots that this instance does not use itself.
-func (s *server) estimate(now time.Time) float64 {
-	prior := float64(s.member.Slots-s.inFlight) / 2
+// estimate returns the expected number of free slots. prior is the mean of
+// what the servers of the service reported lately; it takes the place of
+// knowledge that has aged.
+func (s *server) estimate(prior float64, now time.Time) float64 {
+	// A report follows the end of a request, so it shows one slot more than
+	// there is at other times.
+	prior = max(0, min(prior-1, float64(s.member.Slots-s.inFlight)))
 	age := now.Sub(s.seen)
 	if s.seen.IsZero() || age >= knowledgeLife {
 		return prior
