--- a/internal/bench/doc.go
+++ b/internal/bench/doc.go
@@ -1,5 +1,3 @@
-// Package bench compares policies of the request path on a small event queue
-// with virtual time. Admission, routing, retries and the judgement of
-// connections are the real decision code; workers, network and callers are
-// fakes. It is no simulator of a cluster.
+// Package bench holds the scenarios in which policies are compared in virtual
+// time. The figures don't depend on the speed of the machine.
 package bench
--- a/internal/bench/run.go
+++ b/internal/bench/flood/run.go
@@ -1,4 +1,4 @@
-package bench
+package flood
 
 import (
 	"math/rand/v2"
--- a/internal/bench/send.go
+++ b/internal/bench/flood/send.go
@@ -1,4 +1,4 @@
-package bench
+package flood
 
 import (
 	"time"
--- /dev/null
+++ b/pkg/plan/faults_test.go
@@ -0,0 +1,248 @@
+package plan_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/bench/batch"
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+const (
+	testPlanners = 3
+	testWorkers  = 5
+)
+
+// scenario draws the actions of one run. Draws are uniform, since the small
+// values that rapid prefers make faults too short to matter; rapid varies the
+// seed and the length.
+type scenario struct {
+	*rand.Rand
+	sim *batch.Sim
+	n   int
+	ids []sched.TaskID
+}
+
+func (c *scenario) host() int   { return c.IntN(testPlanners) }
+func (c *scenario) worker() int { return c.IntN(testWorkers) }
+func (c *scenario) yes() bool   { return c.IntN(2) == 0 }
+
+func (c *scenario) upTo(d time.Duration) time.Duration {
+	return time.Duration(c.Int64N(int64(d) + 1))
+}
+
+func (c *scenario) id() sched.TaskID {
+	if len(c.ids) == 0 {
+		return "none"
+	}
+	return c.ids[c.IntN(len(c.ids))]
+}
+
+// faults are the actions of the state machine. A run uses some of them, so
+// that rare combinations come up often.
+var faults = []struct {
+	name string
+	do   func(c *scenario)
+}{
+	{"submitUrgent", func(c *scenario) {
+		k := task(fmt.Sprintf("urgent-%d", c.n), c.Int64N(8)*1000+1000)
+		k.Urgency = sched.UrgencyUrgent
+		c.sim.Submit(c.n, k)
+	}},
+	{"submitAgain", func(c *scenario) { c.sim.Submit(c.n, task(string(c.id()), 3000)) }},
+	{"cancel", func(c *scenario) { c.sim.Cancel(c.n, c.id()) }},
+	{"crashHost", func(c *scenario) { c.sim.CrashHost(c.host()) }},
+	{"restartHost", func(c *scenario) { c.sim.RestartHost(c.host()) }},
+	{"pauseHost", func(c *scenario) { c.sim.PauseHost(c.host(), c.upTo(time.Minute)) }},
+	{"cutHost", func(c *scenario) { c.sim.CutHost(c.host(), true) }},
+	{"joinHost", func(c *scenario) { c.sim.CutHost(c.host(), false) }},
+	{"misleadHost", func(c *scenario) {
+		v := c.yes()
+		c.sim.MisleadHost(c.host(), &v)
+	}},
+	{"guideHost", func(c *scenario) { c.sim.MisleadHost(c.host(), nil) }},
+	{"crashWorker", func(c *scenario) { c.sim.CrashWorker(c.worker()) }},
+	{"bounceWorker", func(c *scenario) {
+		w := c.worker()
+		c.sim.CrashWorker(w)
+		c.sim.After(c.upTo(3*time.Second), func() { c.sim.RestartWorker(w) })
+	}},
+	{"restartWorker", func(c *scenario) { c.sim.RestartWorker(c.worker()) }},
+	{"partitionWorker", func(c *scenario) { c.sim.PartitionWorker(c.worker(), c.host(), true) }},
+	{"isolateWorker", func(c *scenario) {
+		w := c.worker()
+		for h := range testPlanners {
+			c.sim.PartitionWorker(w, h, true)
+		}
+		c.sim.After(c.upTo(time.Minute), func() {
+			for h := range testPlanners {
+				c.sim.PartitionWorker(w, h, false)
+			}
+		})
+	}},
+	{"logDown", func(c *scenario) {
+		c.sim.LogDown = true
+		c.sim.After(c.upTo(time.Minute), func() { c.sim.LogDown = false })
+	}},
+	{"logSlow", func(c *scenario) { c.sim.LogDelay = c.upTo(7 * time.Second) }},
+	{"logFast", func(c *scenario) { c.sim.LogDelay = 0 }},
+	{"network", func(c *scenario) {
+		c.sim.Faults = batch.Faults{
+			LoseCall: c.Float64() / 3, LoseAnswer: c.Float64() / 3, DuplicateCall: c.Float64() / 3,
+			DelayCall: c.Float64() / 3, MaxDelay: c.upTo(20 * time.Second),
+			LoseAck: c.Float64() / 3, LateAppend: c.Float64() / 3,
+		}
+	}},
+	{"networkHealed", func(c *scenario) { c.sim.Faults = batch.Faults{} }},
+}
+
+func (c *scenario) submit() {
+	for i := range 1 + c.IntN(8) {
+		k := task(fmt.Sprintf("task-%d-%d", c.n, i), c.Int64N(12)*1000+1000)
+		k.Urgency = sched.Urgency(1 + c.IntN(2))
+		k.Kind = []string{"sweep", "sweep", "sweep", "broken"}[c.IntN(4)]
+		k.Team = []string{"rooms", "rooms", "small"}[c.IntN(3)]
+		if k.Team == "small" {
+			k.Needs.Processors = min(k.Needs.Processors, 8000)
+		}
+		c.ids = append(c.ids, k.ID)
+		c.sim.Submit(c.n, k)
+	}
+}
+
+// variedTruth gives tasks run times between one second and two minutes.
+func variedTruth(id sched.TaskID, kind string, _ sched.InstanceID) batch.Work {
+	return batch.Work{
+		RunTime: time.Duration(1+xxhash.Sum64String(string(id))%120) * time.Second,
+		Fails:   kind == "broken",
+	}
+}
+
+func imageBytes(tb rapid.TB, l *ledger.Ledger) []byte {
+	b, err := codec.EncodeTaskRecord(sched.TaskRecord{
+		Entries: []sched.TaskEntry{{Kind: sched.EntrySnapshot, Snapshot: l.Image()}},
+	})
+	if err != nil {
+		tb.Fatalf("encode: %v", err)
+	}
+	return b
+}
+
+// checkNow checks what must hold at every moment.
+func checkNow(t rapid.TB, s *batch.Sim, step string) {
+	if len(s.Observer.Violations) > 0 {
+		t.Fatalf("after %s: %v", step, s.Observer.Violations)
+	}
+	images := map[sched.Offset][]byte{}
+	for _, p := range append(s.Planners(), (*plan.Planner)(nil)) {
+		l := s.Ledger()
+		if p != nil {
+			l = p.Ledger()
+		}
+		if !l.Ready() {
+			continue
+		}
+		b := imageBytes(t, l)
+		if other, ok := images[l.Applied()]; ok && !bytes.Equal(b, other) {
+			t.Fatalf("after %s: two replicas differ at record %d", step, l.Applied())
+		}
+		images[l.Applied()] = b
+	}
+}
+
+// checkEnd checks what must hold some time after the last fault.
+func checkEnd(t rapid.TB, s *batch.Sim) {
+	l := s.Ledger()
+	l.EachOpen(func(k *sched.TaskStatus) {
+		t.Errorf("task %s is still open: %+v", k.Task.ID, *k)
+	})
+	done := int64(0)
+	for id := range s.Accepted {
+		k, known := l.Task(id)
+		switch {
+		case !known:
+			t.Errorf("accepted task %s is lost", id)
+		case k.State == sched.TaskFailed && k.Reason == "":
+			t.Errorf("task %s failed without a reason", id)
+		case k.State == sched.TaskDone && s.Observer.Finishes[id] == 0:
+			t.Errorf("task %s is recorded as done but never finished", id)
+		}
+	}
+	for id := range s.Observer.FirstStart {
+		if k, known := l.Task(id); known && k.State == sched.TaskDone {
+			done++
+		}
+	}
+	if runs := l.Usage("kooperatiba", s.Now()).Runs; runs != done {
+		t.Errorf("%d runs are recorded, %d tasks are done", runs, done)
+	}
+}
+
+// healTime is ample for a backlog that a team's quota makes nearly serial.
+const healTime = 3 * time.Hour
+
+// runFaults is one run of the state machine.
+func runFaults(t rapid.TB, seed uint64, steps int) {
+	c := &scenario{Rand: rand.New(rand.NewPCG(seed, 2))}
+	cfg := config(seed, testPlanners, testWorkers)
+	cfg.Truth = variedTruth
+	cfg.CheckTokens = c.yes()
+	if c.yes() {
+		cfg.Retain = 400
+		cfg.Options = func(o *plan.Options) { o.SnapshotEvery = 100 }
+	}
+	c.sim = batch.New(cfg)
+	c.sim.Run(2 * time.Second)
+	used := c.Perm(len(faults))[:3+c.IntN(len(faults)-3)]
+	pace := c.upTo(20 * time.Second)
+	for c.n = range steps {
+		name := "submit"
+		if c.IntN(4) == 0 {
+			c.submit()
+		} else {
+			f := faults[used[c.IntN(len(used))]]
+			name = f.name
+			f.do(c)
+		}
+		c.sim.Run(c.upTo(pace))
+		checkNow(t, c.sim, name)
+	}
+	c.sim.Heal()
+	for left := healTime; left > 0 && (left == healTime || c.sim.Ledger().Open() > 0); left -= 5 * time.Minute {
+		c.sim.Run(5 * time.Minute)
+	}
+	checkNow(t, c.sim, "the end")
+	checkEnd(t, c.sim)
+}
+
+// Guards against tasks that run twice, are lost, or are counted twice when
+// planners, workers, the network and the log fail in any order, and against
+// replicas that disagree.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		runFaults(r, seed, rapid.IntRange(1, 120).Draw(r, "steps"))
+	})
+}
+
+// failedSeeds are runs of TestFaults that found a fault.
+var failedSeeds = []struct {
+	seed  uint64
+	steps int
+}{}
+
+// Guards against the return of faults that TestFaults has found.
+func TestFailedSeeds(t *testing.T) {
+	for _, f := range failedSeeds {
+		runFaults(t, f.seed, f.steps)
+	}
+}
