Echo the request id in refusals of the backend server stand-in

Cause: the pool reads an answer whose request id differs as unknown, refusals included, because a doubled refusal of an earlier request on the same connection must not be taken for this one. The stand-in sent refusals without an id, so each of them became unknown. Change: the stand-in echoes the id in refusals, too. Conclusion: the contract is that every answer carries the request id.

--- a/internal/standin/bkend/serve.go
+++ b/internal/standin/bkend/serve.go
@@ -21,6 +21,7 @@
 	// was read.
 	_, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
+		w.Header().Set(sched.HeaderRequestID, r.Header.Get(sched.HeaderRequestID))
 		w.Header().Set(sched.HeaderNotRun, "true")
 		http.Error(w, errBodyTooLong.Error(), http.StatusRequestEntityTooLarge)
 		return
@@ -28,7 +29,7 @@
 	s.Observer.arrived()
 	leaving, ok := s.admit()
 	if !ok {
-		s.refuseNotRun(w, leaving)
+		s.refuseNotRun(w, r, leaving)
 		return
 	}
 	held := true
@@ -65,9 +66,10 @@
 	s.answer(w, r, fault, leaving, free)
 }
 
-func (s *Server) refuseNotRun(w http.ResponseWriter, leaving bool) {
+func (s *Server) refuseNotRun(w http.ResponseWriter, r *http.Request, leaving bool) {
 	s.Observer.refused()
 	h := w.Header()
+	h.Set(sched.HeaderRequestID, r.Header.Get(sched.HeaderRequestID))
 	h.Set(sched.HeaderNotRun, "true")
 	h.Set(sched.HeaderFreeSlots, "0")
 	if leaving {
--- a/pkg/retry/policy.go
+++ b/pkg/retry/policy.go
@@ -48,8 +48,7 @@
 
 // Retry takes one retry from the budget and returns the wait before it. sends
 // is the number of sends so far. It returns false if the budget is used up or
-// too
-// little time would remain for the send.
+// too little time would remain for the send.
 func (p *Policy) Retry(sends int, now, deadline time.Time) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
