--- a/pkg/coloc/filter.go
+++ b/pkg/coloc/filter.go
@@ -18,8 +18,9 @@
 	// forgetTime is the time in which unused knowledge of a coefficient decays
 	// to the prior.
 	forgetTime = 12 * time.Hour
-	// clip bounds how far a sample can be off, in standard deviations, so that
-	// one outlier moves little.
+	// clip is how far off a sample can be, in standard deviations, before it
+	// counts as noisier than others: one outlier moves little, and a kind that
+	// disturbs far more than expected is still learned, as its variance stays.
 	clip = 2.0
 	// noiseFloor and noiseCap bound the learned relative noise of a sample.
 	noiseFloor = 0.03
@@ -132,9 +133,12 @@
 		model += x[n] * gain[n]
 	}
 	sd := f.noise * max(predicted, atLeast)
-	total := model + sd*sd
-	bound := clip * math.Sqrt(total)
-	miss := min(max(y-predicted, -bound), bound)
+	noise := sd * sd
+	miss := y - predicted
+	if bound := clip * math.Sqrt(model+noise); math.Abs(miss) > bound {
+		noise *= miss * miss / (bound * bound)
+	}
+	total := model + noise
 	for n := range x {
 		f.mean[n] += gain[n] / total * miss
 		for m := range x {
@@ -145,7 +149,8 @@
 		f.mean[n] = max(f.mean[n], 0) // a task doesn't speed a service up
 	}
 	f.mean[atAlone] = max(f.mean[atAlone], atLeast)
-	f.learnNoise(miss*miss-model, predicted)
+	bound := clip * clip * (model + sd*sd)
+	f.learnNoise(min(miss*miss, bound)-model, predicted)
 }
 
 // atLeast keeps a latency from becoming zero or negative, relative to scale.
--- a/pkg/place/index.go
+++ b/pkg/place/index.go
@@ -169,8 +169,8 @@
 		from := x.random.IntN(len(x.cells[c]))
 		for k := range x.cells[c] {
 			s := x.cells[c][(from+k)%len(x.cells[c])]
-			score := x.rate(s, t)
-			if score > avoidAbove || !t.Needs.Fits(s.free) {
+			score, ok := x.rate(s, t)
+			if !ok {
 				if missed++; missed >= misses {
 					break
 				}
@@ -202,11 +202,17 @@
 // first, where it is throttled and holds the room for longer.
 const avoidAbove = 1.0
 
-func (x *Index) rate(s *slot, t *sched.Task) float64 {
+// rate returns the interference score of a task on a worker, and whether the
+// worker has room for the task.
+func (x *Index) rate(s *slot, t *sched.Task) (float64, bool) {
+	if !t.Needs.Fits(s.free) {
+		return 0, false
+	}
 	if x.score == nil {
-		return 0
+		return 0, true
 	}
-	return x.score(s.id, t.Kind)
+	score := x.score(s.id, t.Kind)
+	return score, score <= avoidAbove
 }
 
 // cost is low for a worker that the task fills well and disturbs little.
