--- a/internal/bench/policy_test.go
+++ b/internal/bench/policy_test.go
@@ -7,4 +7,5 @@
 func BenchmarkPolicy(b *testing.B) {
 	benchmarkFlood(b)
 	benchmarkBatch(b)
+	benchmarkMixed(b)
 }
