--- /dev/null
+++ b/pkg/lease/book_test.go
@@ -0,0 +1,112 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+var zero = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func after(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
+
+func newBook() *Book {
+	b := New(Limits{Lease: 10 * time.Second, ClockBound: time.Second, Isolation: 30 * time.Second})
+	b.Reached(Contact{List: zero, Peer: zero}, zero)
+	b.LogRead(zero)
+	return b
+}
+
+// Guards against an attempt that is taken as dead while a call of this or of
+// an earlier term may keep it alive.
+func TestLapsed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		open  []sched.TermStatus
+		ended float64 // when the earlier term ended, 0 if it has not
+		sent  float64 // latest deadline, 0 if none
+		at    float64
+		want  bool
+	}{
+		{"right after the begin", nil, 0, 0, 10.9, false},
+		{"a lease and the bound after the begin", nil, 0, 0, 11.1, true},
+		{"own deadline ahead", nil, 0, 20, 20.5, false},
+		{"own deadline passed on every clock", nil, 0, 20, 21.1, true},
+		{"earlier term open", []sched.TermStatus{{Term: 3}}, 0, 0, 1000, false},
+		{"earlier term ended just now", []sched.TermStatus{{Term: 3}}, 50, 0, 60.9, false},
+		{"earlier term ended long ago", []sched.TermStatus{{Term: 3}}, 50, 0, 61.1, true},
+		{"the own term is not an earlier one", []sched.TermStatus{{Term: 5}}, 0, 0, 11.1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBook()
+			b.Begin(5, c.open, zero)
+			if c.sent > 0 {
+				b.Sent("w", after(c.sent))
+				b.Sent("w", after(c.sent-5)) // an earlier deadline changes nothing
+			}
+			if c.ended > 0 {
+				b.TermEnded(3, after(c.ended))
+			}
+			is.New(t).Equal(b.Lapsed("w", after(c.at)), c.want)
+		})
+	}
+}
+
+// Guards against calls of a planner that was paused, is cut off or has no
+// term, and against deadlines that outlast what its last read allows.
+func TestNotAfter(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		setup func(b *Book)
+		at    float64
+		want  float64 // 0 if no call may be made
+	}{
+		{"anchored at the read", func(*Book) {}, 4, 10},
+		{"read too old", func(*Book) {}, 5, 0},
+		{"failed read starts outage mode", func(b *Book) { b.LogFailed(after(4)) }, 6, 16},
+		{"paused in an outage", func(b *Book) { b.LogFailed(after(4)) }, 9, 0},
+		{"isolated", func(b *Book) { b.LogFailed(after(30)) }, 30, 0},
+		{"peer heard in an outage", func(b *Book) {
+			b.Reached(Contact{Peer: after(29)}, after(29))
+			b.LogFailed(after(30))
+		}, 30, 40},
+		{"peer heard after isolation", func(b *Book) {
+			b.Reached(Contact{Peer: after(31)}, after(31))
+			b.LogFailed(after(32))
+		}, 32, 0},
+		{"log read after isolation", func(b *Book) {
+			b.Reached(Contact{Peer: after(31)}, after(31))
+			b.LogRead(after(32))
+		}, 33, 42},
+		{"alone in its data centre", func(b *Book) {
+			b.Reached(Contact{List: zero, Alone: true}, zero)
+			b.LogFailed(after(300))
+		}, 301, 311},
+		{"term given up", func(b *Book) { b.End() }, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBook()
+			b.Begin(5, nil, zero)
+			c.setup(b)
+			got, ok := b.NotAfter(after(c.at))
+			is.Equal(ok, c.want != 0)
+			if ok {
+				is.Equal(got, after(c.want))
+			}
+		})
+	}
+}
+
+// Guards against a shorter lease that makes the planner forget how long its
+// earlier calls hold.
+func TestShorterLeaseWaits(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.Begin(5, nil, zero)
+	b.SetLimits(Limits{Lease: time.Second, ClockBound: time.Second, Isolation: 30 * time.Second})
+	is.True(!b.Settled(after(10.9)))
+}
--- a/pkg/ledger/image.go
+++ b/pkg/ledger/image.go
@@ -97,3 +97,45 @@
 	}
 	l.teams[t.Task.Team] = l.teams[t.Task.Team].Plus(t.Task.Needs)
 }
+
+// consistent tells whether an image could have been written by a ledger. A
+// reader passes over any other one, since it would fail at a later record.
+func consistent(i *sched.TaskImage) bool {
+	tasks := make(map[sched.TaskID]sched.InstanceID, len(i.Tasks)+len(i.Ended))
+	placed := 0
+	for k := range i.Tasks {
+		t := &i.Tasks[k]
+		holds := t.State == sched.TaskPlaced || t.State == sched.TaskBound
+		if _, twice := tasks[t.Task.ID]; twice || t.State < sched.TaskQueued || Final(t.State) ||
+			holds != (t.Worker != "") {
+			return false
+		}
+		tasks[t.Task.ID] = t.Worker
+		if holds {
+			placed++
+		}
+	}
+	for k := range i.Ended {
+		t := &i.Ended[k]
+		if _, twice := tasks[t.Task.ID]; twice || !Final(t.State) {
+			return false
+		}
+		tasks[t.Task.ID] = ""
+	}
+	workers := map[sched.InstanceID]bool{}
+	listed := map[sched.TaskID]bool{}
+	for k := range i.Workers {
+		w := &i.Workers[k]
+		if w.Worker == "" || workers[w.Worker] {
+			return false
+		}
+		workers[w.Worker] = true
+		for _, id := range w.Placed {
+			if tasks[id] != w.Worker || listed[id] {
+				return false
+			}
+			listed[id] = true
+		}
+	}
+	return len(listed) == placed
+}
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -129,7 +129,8 @@
 func usable(r *sched.TaskRecord, first sched.Offset) *sched.TaskImage {
 	for k := range r.Entries {
 		e := &r.Entries[k]
-		if e.Kind == sched.EntrySnapshot && e.Snapshot != nil && e.Snapshot.AsOf >= first-1 {
+		if e.Kind == sched.EntrySnapshot && e.Snapshot != nil && e.Snapshot.AsOf >= first-1 &&
+			consistent(e.Snapshot) {
 			return e.Snapshot
 		}
 	}
--- a/pkg/place/queue.go
+++ b/pkg/place/queue.go
@@ -108,6 +108,13 @@
 	for len(h) > 0 {
 		r := &h[0]
 		l := r.line
+		// Shares only grow within a round, so a share that is out of date
+		// because of the team's other lines is noticed when it comes up.
+		if now := share(l.shape.team); now > r.share {
+			r.share = now
+			heap.Fix(&h, 0)
+			continue
+		}
 		w := l.waiters[0]
 		switch visit(w.id) {
 		case Taken:
@@ -118,7 +125,6 @@
 				heap.Pop(&h)
 				continue
 			}
-			r.share = share(l.shape.team)
 			heap.Fix(&h, 0)
 		case NoRoom:
 			heap.Pop(&h)
@@ -128,8 +134,7 @@
 	}
 }
 
-// ranked is a line with its place in a round. The share of a team's other
-// lines may be slightly out of date within a round.
+// ranked is a line with its place in a round.
 type ranked struct {
 	line  *line
 	share float64
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -73,7 +73,6 @@
 func (p *Planner) termChanged() {
 	open := p.ledger.Terms()
 	newest := p.ledger.NewestTerm()
-	p.termSeen = max(p.termSeen, newest)
 	own := p.book.Term()
 	if own != 0 && newest != own {
 		p.lose("a newer term was read")
--- a/pkg/plan/stream.go
+++ b/pkg/plan/stream.go
@@ -106,6 +106,7 @@
 		}
 		p.changed(&changes[k])
 	}
+	p.termSeen = max(p.termSeen, p.ledger.NewestTerm())
 	p.answer()
 	own := record.Writer == p.options.Instance && record.Incarnation == p.options.Incarnation
 	if f := p.flight; own && f != nil && record.Serial == f.serial {
