Use package suspct in the planner and the policy scenarios

Broken workers took and failed most tasks. Suspected workers now get no tasks, failures on them don't count against the task, and they are looked at again every second. The state machine makes workers fail, too.

--- a/internal/bench/batch/control.go
+++ b/internal/bench/batch/control.go
@@ -95,6 +95,7 @@
 	}
 	for i, w := range s.order {
 		clear(w.partitioned)
+		w.failing = false
 		s.RestartWorker(i)
 	}
 }
--- a/internal/bench/batch/scenario.go
+++ b/internal/bench/batch/scenario.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/suspct"
 )
 
 // Scenario is a load with disturbances, run under one policy.
@@ -44,8 +45,22 @@
 	}}
 }
 
+// BaselineWithSuspects is the baseline, but for workers that fail everything.
+func BaselineWithSuspects() Policy {
+	p := Baseline()
+	options := p.Options
+	p.Name = "baselineSuspects"
+	p.Options = func(o *plan.Options) {
+		options(o)
+		o.Suspects = suspct.New()
+	}
+	return p
+}
+
 // Current is the policy in use.
-func Current() Policy { return Policy{Name: "current", AheadDepth: 2} }
+func Current() Policy {
+	return Policy{Name: "current", AheadDepth: 2, Options: func(o *plan.Options) { o.Suspects = suspct.New() }}
+}
 
 // Result is what a scenario measures.
 type Result struct {
@@ -78,6 +93,17 @@
 func RunScenario(c Scenario, p Policy, seed uint64) Result {
 	s := New(c.config(p, seed))
 	s.Run(warmUp)
+	ids, submitted := s.fill(c, seed)
+	if c.Disturb != nil {
+		c.Disturb(s, ids)
+	}
+	s.Run(scenarioTime)
+	return s.result(c, submitted)
+}
+
+// fill submits the background tasks and plans the urgent ones. It returns the
+// ids of the former and the times of the latter.
+func (s *Sim) fill(c Scenario, seed uint64) ([]sched.TaskID, map[sched.TaskID]time.Time) {
 	r := rand.New(rand.NewPCG(seed, 3))
 	var ids []sched.TaskID
 	for i := range scenarioTasks {
@@ -91,11 +117,7 @@
 	}
 	submitted := map[sched.TaskID]time.Time{}
 	s.submitUrgent(c.Urgent, r, submitted)
-	if c.Disturb != nil {
-		c.Disturb(s, ids)
-	}
-	s.Run(scenarioTime)
-	return s.result(c, submitted)
+	return ids, submitted
 }
 
 func (c Scenario) config(p Policy, seed uint64) Config {
--- a/internal/bench/batch_policy_test.go
+++ b/internal/bench/batch_policy_test.go
@@ -12,10 +12,16 @@
 // batchPolicies returns the variants of a scenario.
 func batchPolicies(scenario string) []batch.Policy {
 	all := []batch.Policy{batch.Baseline(), batch.Current()}
-	if scenario == "storeOutage" {
-		without := batch.Current()
+	switch scenario {
+	case "storeOutage":
+		without, deep := batch.Current(), batch.Current()
 		without.Name, without.AheadDepth = "nothingAhead", 0
-		all = append(all, without)
+		deep.Name, deep.AheadDepth = "eightAhead", 8
+		all = append(all, without, deep)
+	case "badWorkers":
+		// Without package suspct the baseline fails most tasks for good, so
+		// that little is left to evict.
+		all = append(all, batch.BaselineWithSuspects())
 	}
 	return all
 }
--- a/pkg/plan/decide.go
+++ b/pkg/plan/decide.go
@@ -14,6 +14,9 @@
 	visitGap = time.Second
 	// decisionsPerStep bounds the time of a step.
 	decisionsPerStep = 500
+	// shunnedGap is the time between two looks at avoided workers, less than
+	// the time in which a probe may be placed.
+	shunnedGap = time.Second
 	// reserveAfter is the time after which a task that found no room gets a
 	// worker reserved: it is bound there and smaller tasks go elsewhere.
 	reserveAfter = 30 * time.Second
@@ -82,10 +85,10 @@
 		if t.Task.Urgency == sched.UrgencyUrgent {
 			p.keepRoom(c.Worker.Worker, t.Task.Needs)
 		}
-		p.touch(c.Worker.Worker)
 		if s := p.options.Suspects; s != nil && c.Kind == sched.EntryEnded {
 			s.Ended(p.now, c.Worker.Worker, t.Task.ID, t.Task.Kind, c.Result)
 		}
+		p.touch(c.Worker.Worker)
 	}
 	switch t.State {
 	case sched.TaskQueued:
@@ -158,8 +161,36 @@
 	f.Remove(w.Worker)
 }
 
+// avoided tells whether a worker is suspected, and notes changes.
 func (p *Planner) avoided(id sched.InstanceID) bool {
-	return p.options.Suspects != nil && p.options.Suspects.Avoid(p.now, id)
+	if p.options.Suspects == nil {
+		return false
+	}
+	avoid := p.options.Suspects.Avoid(p.now, id)
+	if avoid && !p.shunned[id] {
+		p.shunned[id] = true
+		p.event("workerAvoided", "", string(id))
+	}
+	return avoid
+}
+
+// lookAtShunned lets workers take tasks again whose pause is over, or for
+// which a probe is due.
+func (p *Planner) lookAtShunned() {
+	if len(p.shunned) == 0 || p.now.Sub(p.shunnedAt) < shunnedGap {
+		return
+	}
+	p.shunnedAt = p.now
+	for _, n := range p.order {
+		id := n.member.ID
+		if !p.shunned[id] {
+			continue
+		}
+		if !p.options.Suspects.Avoid(p.now, id) {
+			delete(p.shunned, id)
+		}
+		p.refresh(id)
+	}
 }
 
 func (p *Planner) refreshAll() {
@@ -188,6 +219,7 @@
 func (p *Planner) schedule() {
 	p.expireLost()
 	p.endHolds()
+	p.lookAtShunned()
 	p.releaseDelayed()
 	p.interfere()
 	p.useClaims()
@@ -309,6 +341,9 @@
 	if t.Task.Urgency == sched.UrgencyUrgent && !ahead {
 		p.useHold(worker)
 	}
+	if s := p.options.Suspects; s != nil {
+		s.Placed(p.now, worker)
+	}
 	p.plans[t.Task.ID] = decision{worker, t.Task.Team, needs, ahead}
 	p.teams[t.Task.Team] = p.teams[t.Task.Team].Plus(needs)
 	o := p.overlay[worker]
--- a/pkg/plan/faults_test.go
+++ b/pkg/plan/faults_test.go
@@ -15,6 +15,7 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/suspct"
 )
 
 const (
@@ -70,6 +71,7 @@
 		c.sim.MisleadHost(c.host(), &v)
 	}},
 	{"guideHost", func(c *scenario) { c.sim.MisleadHost(c.host(), nil) }},
+	{"failWorker", func(c *scenario) { c.sim.FailWorker(c.worker(), c.yes()) }},
 	{"crashWorker", func(c *scenario) { c.sim.CrashWorker(c.worker()) }},
 	{"bounceWorker", func(c *scenario) {
 		w := c.worker()
@@ -196,9 +198,17 @@
 	cfg := config(seed, testPlanners, testWorkers)
 	cfg.Truth = variedTruth
 	cfg.CheckTokens = c.yes()
+	suspects := c.yes()
 	if c.yes() {
 		cfg.Retain = 400
-		cfg.Options = func(o *plan.Options) { o.SnapshotEvery = 100 }
+	}
+	cfg.Options = func(o *plan.Options) {
+		if cfg.Retain > 0 {
+			o.SnapshotEvery = 100
+		}
+		if suspects {
+			o.Suspects = suspct.New()
+		}
 	}
 	c.sim = batch.New(cfg)
 	c.sim.Run(2 * time.Second)
--- a/pkg/plan/input.go
+++ b/pkg/plan/input.go
@@ -144,11 +144,14 @@
 	Evict bool
 }
 
-// Suspects tells failing workers from failing tasks.
+// Suspects tells failing workers from failing tasks; suspct.Judge implements it.
 type Suspects interface {
 	// Ended notes how an attempt ended.
 	Ended(now time.Time, worker sched.InstanceID, task sched.TaskID, kind string, result sched.AttemptState)
-	// Avoid tells whether a worker should get no new tasks now.
+	// Placed notes that a task was given to a worker.
+	Placed(now time.Time, worker sched.InstanceID)
+	// Avoid tells whether a worker should get no new tasks now. The answer may
+	// change with time.
 	Avoid(now time.Time, worker sched.InstanceID) bool
 	// Counts tells whether the task's failure on this worker counts against
 	// the task.
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -106,6 +106,10 @@
 	due     bool
 	stirred bool
 	visited time.Time
+	// shunned holds the workers that Suspects advised to avoid, and shunnedAt
+	// the time at which they were looked at.
+	shunned   map[sched.InstanceID]bool
+	shunnedAt time.Time
 
 	nodes map[sched.InstanceID]*node
 	order []*node
@@ -123,6 +127,7 @@
 		noted:     map[fact]bool{},
 		gone:      map[sched.InstanceID]bool{},
 		estimator: place.NewEstimator(),
+		shunned:   map[sched.InstanceID]bool{},
 		nodes:     map[sched.InstanceID]*node{},
 	}
 	p.setSettings(o.Settings)
