--- a/internal/bench/batch/scale.go
+++ b/internal/bench/batch/scale.go
@@ -73,11 +73,12 @@
 func (c Scale) Measure(s *Sim, seed uint64) ScaleResult {
 	r := rand.New(rand.NewPCG(seed, 5))
 	submitted := map[sched.TaskID]time.Time{}
+	round := s.count // tells the tasks of repeated measurements apart
 	before := s.AppendBytes
 	total := c.StartsPerSecond * int(c.Duration/time.Second)
 	for n := range total {
 		t := sched.Task{
-			ID: sched.TaskID(fmt.Sprintf("urgent-%06d", n)), Kind: "urgent", Partner: "kooperatiba",
+			ID: sched.TaskID(fmt.Sprintf("urgent-%d-%06d", round, n)), Kind: "urgent", Partner: "kooperatiba",
 			Team: fmt.Sprintf("team-%d", n%170), Urgency: sched.UrgencyUrgent, RunTime: 10 * time.Second,
 			Needs: sched.Resources{Processors: 500 + 100*r.Int64N(15), Memory: 1 << 30},
 		}
--- a/internal/bench/batch/sim.go
+++ b/internal/bench/batch/sim.go
@@ -129,6 +129,9 @@
 // Ledger returns a replay of everything that was appended.
 func (s *Sim) Ledger() *ledger.Ledger { return s.judge }
 
+// Log returns the records that the log holds.
+func (s *Sim) Log() []sched.Record { return s.log[s.trimmed:] }
+
 // Run lets virtual time pass.
 func (s *Sim) Run(d time.Duration) {
 	end := s.now.Add(d)
--- a/pkg/ledger/image.go
+++ b/pkg/ledger/image.go
@@ -30,7 +30,9 @@
 	}
 	for _, id := range l.workerIDs() {
 		w := l.workers[id].WorkerStatus
-		w.Placed = slices.Clone(w.Placed)
+		for _, t := range l.workers[id].Tasks {
+			w.Placed = append(w.Placed, t.Task.ID)
+		}
 		i.Workers = append(i.Workers, w)
 	}
 	for _, u := range l.usage {
@@ -46,23 +48,25 @@
 	return slices.Sorted(maps.Keys(l.workers))
 }
 
-// load takes the state of a snapshot that stands at offset at, and replays the
-// records between the two.
-func (l *Ledger) load(i *sched.TaskImage, at sched.Offset) {
+// load takes the state of a snapshot and replays the records that were read
+// after its offset.
+func (l *Ledger) load(i *sched.TaskImage) {
 	l.newest = i.NewestTerm
 	l.terms = slices.Clone(i.Terms)
 	l.scores = i.Scores
-	for k := range i.Workers {
-		w := &Worker{WorkerStatus: i.Workers[k]}
-		w.Placed = slices.Clone(w.Placed)
-		l.workers[w.Worker] = w
-		l.shapes[w.Capacity]++
-	}
 	for k := range i.Tasks {
 		t := i.Tasks[k]
 		l.tasks[t.Task.ID] = &t
 		l.open++
-		l.hold(&t)
+	}
+	for k := range i.Workers {
+		w := &Worker{WorkerStatus: i.Workers[k]}
+		w.Placed = nil
+		l.workers[w.Worker] = w
+		l.shapes[w.Capacity]++
+		for _, id := range i.Workers[k].Placed {
+			l.hold(w, l.tasks[id])
+		}
 	}
 	for k := range i.Ended {
 		t := i.Ended[k]
@@ -79,22 +83,17 @@
 		}
 	}
 	l.waiting = nil
-	l.snapshot = at
-	l.changes = l.changes[:0]
 }
 
-// hold adds a placed task of an image to the sums.
-func (l *Ledger) hold(t *sched.TaskStatus) {
-	w := l.workers[t.Worker]
-	if w == nil {
-		return
-	}
+// hold adds a placed task of an image to its worker.
+func (l *Ledger) hold(w *Worker, t *sched.TaskStatus) {
 	if t.State == sched.TaskBound {
 		w.Bound = w.Bound.Plus(t.Task.Needs)
 		w.Waiting++
 	} else {
 		w.Committed = w.Committed.Plus(t.Task.Needs)
 	}
+	w.Tasks = append(w.Tasks, t)
 	l.teams[t.Task.Team] = l.teams[t.Task.Team].Plus(t.Task.Needs)
 }
 
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -12,9 +12,12 @@
 // submission that is repeated later than that counts as new.
 const rememberedEnded = 50_000
 
-// Worker is a worker with the sums over its tasks. Readers must not change it.
+// Worker is a worker with its tasks and the sums over them. Readers must not
+// change it.
 type Worker struct {
 	sched.WorkerStatus
+	// Tasks takes the place of WorkerStatus.Placed, which only images fill.
+	Tasks []*sched.TaskStatus
 	// Committed is held by tasks that run or may run.
 	Committed sched.Resources
 	// Bound is needed by tasks that are bound ahead and were not seen to run,
@@ -106,7 +109,10 @@
 		return l.changes, nil
 	}
 	if i := usable(r, l.first); i != nil {
-		l.load(i, at)
+		l.load(i)
+		// The record itself may hold more than the snapshot.
+		l.replay(at, r)
+		l.changes = l.changes[:0]
 		return l.changes, nil
 	}
 	l.waiting = append(l.waiting, held{at, r})
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -236,12 +236,15 @@
 		var log [][]byte
 		lag := []*sched.TaskImage{s.l.Image()}
 		for range rapid.IntRange(5, 80).Draw(r, "records") {
-			e := randomEntry(r, s)
-			if e.Kind == sched.EntrySnapshot {
-				// The writer had read less than what is now before the record.
-				e.Snapshot = lag[max(0, len(lag)-1-rapid.IntRange(0, 5).Draw(r, "lag"))]
+			entries := make([]sched.TaskEntry, rapid.IntRange(1, 3).Draw(r, "entries"))
+			for i := range entries {
+				entries[i] = randomEntry(r, s)
+				if entries[i].Kind == sched.EntrySnapshot {
+					// The writer had read less than what is now before the record.
+					entries[i].Snapshot = lag[max(0, len(lag)-1-rapid.IntRange(0, 5).Draw(r, "lag"))]
+				}
 			}
-			b, err := codec.EncodeTaskRecord(sched.TaskRecord{At: at, Entries: []sched.TaskEntry{e}})
+			b, err := codec.EncodeTaskRecord(sched.TaskRecord{At: at, Entries: entries})
 			if err != nil {
 				r.Fatal(err)
 			}
@@ -269,10 +272,9 @@
 
 func checkSums(r *rapid.T, l *ledger.Ledger, w *ledger.Worker) {
 	var committed, bound sched.Resources
-	for _, id := range w.Placed {
-		k, _ := l.Task(id)
-		if k.Worker != w.Worker {
-			r.Fatalf("%s is listed on %s but placed on %q", id, w.Worker, k.Worker)
+	for _, k := range w.Tasks {
+		if known, _ := l.Task(k.Task.ID); known != k || k.Worker != w.Worker {
+			r.Fatalf("%s is listed on %s but placed on %q", k.Task.ID, w.Worker, k.Worker)
 		}
 		if k.State == sched.TaskBound {
 			bound = bound.Plus(k.Task.Needs)
--- a/pkg/ledger/rules.go
+++ b/pkg/ledger/rules.go
@@ -118,7 +118,7 @@
 		w.Committed = w.Committed.Plus(needs)
 	}
 	l.teams[t.Task.Team] = hold
-	w.Placed = append(w.Placed, e.TaskID)
+	w.Tasks = append(w.Tasks, t)
 	l.changed(e.Kind, t, w, e.Attempt)
 }
 
@@ -292,8 +292,8 @@
 			continue
 		}
 		w := l.workers[id]
-		for _, task := range slices.Clone(w.Placed) {
-			l.expire(l.tasks[task])
+		for _, t := range slices.Clone(w.Tasks) {
+			l.expire(t)
 		}
 		l.dropShape(w.Capacity)
 		delete(l.workers, id)
@@ -323,8 +323,8 @@
 	if hold == (sched.Resources{}) {
 		delete(l.teams, t.Task.Team)
 	}
-	if i := slices.Index(w.Placed, t.Task.ID); i >= 0 {
-		w.Placed = slices.Delete(w.Placed, i, i+1)
+	if i := slices.Index(w.Tasks, t); i >= 0 {
+		w.Tasks = slices.Delete(w.Tasks, i, i+1)
 	}
 	t.State, t.Worker, t.Term = sched.TaskQueued, "", 0
 	return w
--- a/pkg/plan/command.go
+++ b/pkg/plan/command.go
@@ -18,8 +18,7 @@
 	var all []sched.Command
 	w, known := p.ledger.Worker(n.member.ID)
 	if known {
-		for _, id := range w.Placed {
-			t, _ := p.ledger.Task(id)
+		for _, t := range w.Tasks {
 			if c, ok := p.command(n, t, notAfter); ok {
 				all = append(all, c)
 			}
--- a/pkg/plan/evict.go
+++ b/pkg/plan/evict.go
@@ -130,9 +130,8 @@
 		cost  float64
 	}
 	var all []candidate
-	for rank, id := range w.Placed {
-		s, _ := p.ledger.Task(id)
-		k := attemptKey{id, s.Attempt}
+	for rank, s := range w.Tasks {
+		k := attemptKey{s.Task.ID, s.Attempt}
 		switch {
 		case s.Task.Urgency >= t.Task.Urgency:
 		case n.evict[k]:
--- a/pkg/plan/faults_test.go
+++ b/pkg/plan/faults_test.go
@@ -200,7 +200,7 @@
 	cfg.CheckTokens = c.yes()
 	suspects := c.yes()
 	if c.yes() {
-		cfg.Retain = 400
+		cfg.Retain = 200
 	}
 	cfg.Options = func(o *plan.Options) {
 		if cfg.Retain > 0 {
--- a/pkg/plan/node.go
+++ b/pkg/plan/node.go
@@ -127,7 +127,7 @@
 	if !known {
 		return true
 	}
-	if len(w.Placed) == 0 && p.book.Term() != 0 && p.now.Sub(n.unlisted) >= removeAfter {
+	if len(w.Tasks) == 0 && p.book.Term() != 0 && p.now.Sub(n.unlisted) >= removeAfter {
 		p.note(sched.TaskEntry{Kind: sched.EntryDeclaredDead, Instance: id})
 	}
 	return false
@@ -197,7 +197,7 @@
 
 func (p *Planner) placed(n *node) bool {
 	w, known := p.ledger.Worker(n.member.ID)
-	return known && len(w.Placed) > 0
+	return known && len(w.Tasks) > 0
 }
 
 func later(a, b time.Time) time.Time {
@@ -214,7 +214,7 @@
 			continue
 		}
 		w, known := p.ledger.Worker(n.member.ID)
-		if !known || len(w.Placed) == 0 {
+		if !known || len(w.Tasks) == 0 {
 			// The worker is asked again, as nothing on it can be alive.
 			n.silent = false
 			continue
@@ -226,10 +226,9 @@
 }
 
 func (p *Planner) expireAll(w *ledger.Worker) {
-	for _, id := range w.Placed {
-		t, _ := p.ledger.Task(id)
+	for _, t := range w.Tasks {
 		p.note(sched.TaskEntry{
-			Kind: sched.EntryExpired, TaskID: id, Attempt: t.Attempt, Worker: w.Worker, Term: p.book.Term(),
+			Kind: sched.EntryExpired, TaskID: t.Task.ID, Attempt: t.Attempt, Worker: w.Worker, Term: p.book.Term(),
 		})
 	}
 }
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -44,10 +44,8 @@
 	w, known := p.ledger.Worker(n.member.ID)
 	if known && n.boot == 0 && w.Boot != r.Boot {
 		// Whatever was placed before this term may have run in the last boot.
-		for _, id := range w.Placed {
-			if t, ok := p.ledger.Task(id); ok {
-				n.seen[attemptKey{id, t.Attempt}] = true
-			}
+		for _, t := range w.Tasks {
+			n.seen[attemptKey{t.Task.ID, t.Attempt}] = true
 		}
 	}
 	n.boot = r.Boot
@@ -83,16 +81,15 @@
 	if !known {
 		return
 	}
-	for _, id := range w.Placed {
-		t, _ := p.ledger.Task(id)
-		k := attemptKey{id, t.Attempt}
+	for _, t := range w.Tasks {
+		k := attemptKey{t.Task.ID, t.Attempt}
 		a, reported := n.reports[k]
 		switch {
 		case !reported:
 			n.dirty = true
 		case a.State == sched.AttemptRunning && !t.Started:
 			p.note(sched.TaskEntry{
-				Kind: sched.EntryStarted, TaskID: id, Attempt: t.Attempt, Worker: n.member.ID,
+				Kind: sched.EntryStarted, TaskID: k.task, Attempt: t.Attempt, Worker: n.member.ID,
 			})
 		case !a.State.Ended() && (t.CancelRequested || n.evict[k]):
 			n.dirty = true
