--- a/internal/bench/batch_policy_test.go
+++ b/internal/bench/batch_policy_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/bench/batch"
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 )
 
 // batchSeed is the seed of the batch scenarios.
@@ -12,10 +13,25 @@
 // batchPolicies returns the variants of a scenario.
 func batchPolicies(scenario string) []batch.Policy {
 	all := []batch.Policy{batch.Baseline(), batch.Current()}
-	if scenario == "storeOutage" {
-		without := batch.Current()
+	switch scenario {
+	case "storeOutage":
+		without, deep := batch.Current(), batch.Current()
 		without.Name, without.AheadDepth = "nothingAhead", 0
+		deep.Name, deep.AheadDepth = "eightAhead", 8
+		all = append(all, without, deep)
+	case "wrongEstimates":
+		without := batch.Current()
+		without.Name = "noHold"
+		options := without.Options
+		without.Options = func(o *plan.Options) {
+			options(o)
+			o.NoHold = true
+		}
 		all = append(all, without)
+	case "badWorkers":
+		// Without package suspct the baseline fails most tasks for good, so
+		// that little is left to evict.
+		all = append(all, batch.BaselineWithSuspects())
 	}
 	return all
 }
