--- /dev/null
+++ b/internal/process/cli/cli.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Program is one run of the command line. Exported fields are set before Run.
+type Program struct {
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// commands is the root of the command line.
+type commands struct {
+	Serve       serveCmd       `cmd:"" help:"Run one entry instance."`
+	Check       checkCmd       `cmd:"" help:"Check a configuration folder, and show the merged result and which file set each value."`
+	Apply       applyCmd       `cmd:"" help:"Apply a configuration folder."`
+	Status      statusCmd      `cmd:"" help:"Show the state of an instance, or the run counts of a partner."`
+	Submit      submitCmd      `cmd:"" help:"Submit a batch task."`
+	Cancel      cancelCmd      `cmd:"" help:"Cancel a batch task."`
+	Timeline    timelineCmd    `cmd:"" help:"Show the merged events of all instances."`
+	DeclareDead declareDeadCmd `cmd:"" help:"Assert that nothing runs any more on an instance or in a data centre."`
+	Demo        demoCmd        `cmd:"" help:"Run three entry instances against stand-ins in this process."`
+	Soak        soakCmd        `cmd:"" help:"Drive load against running instances; scripts/soak starts them."`
+	Standin     standinCmd     `cmd:"" help:"Run stand-ins of the platform and of backend servers."`
+}
+
+// parsed ends a parse that has printed help.
+type parsed struct{ status int }
+
+// Run parses the arguments, runs the command until it ends or the context
+// ends, and returns the exit code.
+func (p *Program) Run(c context.Context, args []string) sched.ExitCode {
+	err := p.run(c, args)
+	if err == nil {
+		return sched.ExitOK
+	}
+	fmt.Fprintf(p.Stderr, "parsleybarrow: %s\n", strings.ReplaceAll(err.Error(), "\n", "; "))
+	return exitCode(err)
+}
+
+func (p *Program) run(c context.Context, args []string) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			if _, isHelp := r.(parsed); !isHelp {
+				panic(r)
+			}
+			err = nil
+		}
+	}()
+	options := append(mappers(),
+		kong.Name("parsleybarrow"),
+		kong.Description("Scheduler for latency-critical services and batch tasks on shared workers."),
+		kong.Writers(p.Stdout, p.Stderr),
+		kong.Exit(func(status int) { panic(parsed{status}) }),
+		kong.DefaultEnvars("PARSLEY"),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.BindTo(c, (*context.Context)(nil)),
+		kong.Bind(p),
+	)
+	parser, err := kong.New(&commands{}, options...)
+	if err != nil {
+		return fmt.Errorf("build command line: %w", err)
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		return usageError(err)
+	}
+	return k.Run()
+}
+
+// usageError keeps a SettingError without kong's prefix, so that the flag is
+// named once.
+func usageError(err error) error {
+	var s *SettingError
+	if errors.As(err, &s) {
+		return s
+	}
+	return failf(sched.ExitUsage, "%w (see parsleybarrow --help)", err)
+}
--- /dev/null
+++ b/internal/process/daemon/metrics.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Metric is one row of the table of metrics.
+type Metric struct {
+	Name    string
+	Kind    string
+	Meaning string
+}
+
+// Metrics returns the table of metrics; docs/operators/metrics.md repeats it.
+func Metrics() []Metric {
+	return []Metric{
+		{"parsleybarrow_requests_total", "counter", "Requests by outcome: answered, refusedNotRun, failed, unknown."},
+		{"parsleybarrow_request_duration_seconds", "histogram", "Time from arrival to the end of the answer."},
+		{"parsleybarrow_requests_in_flight", "gauge", "Requests that have arrived and not ended."},
+		{"parsleybarrow_submissions_total", "counter", "Task submissions by result: accepted, refused, unknown."},
+		{"parsleybarrow_tasks", "gauge", "Tasks of the own data centre by state: queued, placed."},
+		{"parsleybarrow_heartbeats_total", "counter", "Heartbeats sent, by result: ok, failed."},
+		{"parsleybarrow_list_polls_total", "counter", "Polls of the platform's list, by result: ok, failed."},
+		{"parsleybarrow_worker_exchanges_total", "counter", "Calls to workers, by result: ok, failed."},
+		{"parsleybarrow_appends_total", "counter", "Appends to the platform's log, by result: ok, failed, uncertain."},
+		{"parsleybarrow_records_total", "counter", "Records read from the platform's log."},
+		{"parsleybarrow_config_version", "gauge", "Configuration version in force."},
+		{"parsleybarrow_ready", "gauge", "1 while the instance is ready, else 0."},
+		{"parsleybarrow_planner", "gauge", "1 while the instance plans for its data centre, else 0."},
+		{"parsleybarrow_control_messages_total", "counter", "Messages that the control actor has handled."},
+		{"parsleybarrow_events_displaced_total", "counter", "Events that newer ones have displaced from the ring buffer."},
+	}
+}
+
+// results are the label values of calls.
+const (
+	resultOK        = "ok"
+	resultFailed    = "failed"
+	resultUncertain = "uncertain"
+)
+
+// outcomeNames are the label values and header values of outcomes.
+var outcomeNames = map[sched.Outcome]string{
+	sched.OutcomeAnswered:      "answered",
+	sched.OutcomeRefusedNotRun: "refusedNotRun",
+	sched.OutcomeFailed:        "failed",
+	sched.OutcomeUnknown:       "unknown",
+}
+
+// meters holds the metrics of one instance.
+type meters struct {
+	set         *metrics.Set
+	requests    map[sched.Outcome]*metrics.Counter
+	duration    *metrics.Histogram
+	submissions map[string]*metrics.Counter
+	heartbeats  map[string]*metrics.Counter
+	polls       map[string]*metrics.Counter
+	exchanges   map[string]*metrics.Counter
+	appends     map[string]*metrics.Counter
+	records     *metrics.Counter
+	messages    *metrics.Counter
+}
+
+// gauges are read when the metrics are written.
+type gauges struct {
+	inFlight, version, ready, planner, queued, placed, displaced func() float64
+}
+
+func newMeters(g gauges) *meters {
+	s := metrics.NewSet()
+	m := &meters{
+		set:         s,
+		requests:    map[sched.Outcome]*metrics.Counter{},
+		duration:    s.NewHistogram("parsleybarrow_request_duration_seconds"),
+		submissions: counters(s, "parsleybarrow_submissions_total", "accepted", "refused", "unknown"),
+		heartbeats:  counters(s, "parsleybarrow_heartbeats_total", resultOK, resultFailed),
+		polls:       counters(s, "parsleybarrow_list_polls_total", resultOK, resultFailed),
+		exchanges:   counters(s, "parsleybarrow_worker_exchanges_total", resultOK, resultFailed),
+		appends:     counters(s, "parsleybarrow_appends_total", resultOK, resultFailed, resultUncertain),
+		records:     s.NewCounter("parsleybarrow_records_total"),
+		messages:    s.NewCounter("parsleybarrow_control_messages_total"),
+	}
+	for o, n := range outcomeNames {
+		m.requests[o] = s.NewCounter(fmt.Sprintf("parsleybarrow_requests_total{outcome=%q}", n))
+	}
+	s.NewGauge("parsleybarrow_requests_in_flight", g.inFlight)
+	s.NewGauge("parsleybarrow_config_version", g.version)
+	s.NewGauge("parsleybarrow_ready", g.ready)
+	s.NewGauge("parsleybarrow_planner", g.planner)
+	s.NewGauge(`parsleybarrow_tasks{state="queued"}`, g.queued)
+	s.NewGauge(`parsleybarrow_tasks{state="placed"}`, g.placed)
+	s.NewGauge("parsleybarrow_events_displaced_total", g.displaced)
+	return m
+}
+
+func counters(s *metrics.Set, name string, results ...string) map[string]*metrics.Counter {
+	out := map[string]*metrics.Counter{}
+	for _, r := range results {
+		out[r] = s.NewCounter(fmt.Sprintf("%s{result=%q}", name, r))
+	}
+	return out
+}
+
+// result is the label value that goes with an error.
+func result(err error) string {
+	if err != nil {
+		return resultFailed
+	}
+	return resultOK
+}
