--- a/internal/process/peer/convert.go
+++ b/internal/process/peer/convert.go
@@ -21,8 +21,14 @@
 		TermSeen:    int64(h.TermSeen),
 		LogReached:  nanos(h.LogReached),
 	}
-	for _, d := range h.Demand {
-		w.Demand = append(w.Demand, &pb.TeamDemand{Team: d.Team, Offered: float32(d.Offered), Admitted: float32(d.Admitted)})
+	w.Demand = demandToWire(h.Demand)
+	for _, a := range h.Areas {
+		w.Areas = append(w.Areas, &pb.AreaDemand{
+			DataCentre: string(a.DataCentre),
+			Instances:  int32(a.Instances),
+			AsOf:       nanos(a.AsOf),
+			Demand:     demandToWire(a.Demand),
+		})
 	}
 	for _, t := range h.Totals {
 		w.Totals = append(w.Totals, &pb.PartnerTotal{Partner: t.Partner, Service: t.Service, Answers: t.Answers})
@@ -44,8 +50,14 @@
 		TermSeen:    sched.Offset(w.GetTermSeen()),
 		LogReached:  fromNanos(w.GetLogReached()),
 	}
-	for _, d := range w.GetDemand() {
-		h.Demand = append(h.Demand, sched.TeamDemand{Team: d.GetTeam(), Offered: float64(d.GetOffered()), Admitted: float64(d.GetAdmitted())})
+	h.Demand = demandFromWire(w.GetDemand())
+	for _, a := range w.GetAreas() {
+		h.Areas = append(h.Areas, sched.AreaDemand{
+			DataCentre: sched.DataCentre(a.GetDataCentre()),
+			Instances:  int(a.GetInstances()),
+			AsOf:       fromNanos(a.GetAsOf()),
+			Demand:     demandFromWire(a.GetDemand()),
+		})
 	}
 	for _, t := range w.GetTotals() {
 		h.Totals = append(h.Totals, sched.PartnerTotal{Partner: t.GetPartner(), Service: t.GetService(), Answers: t.GetAnswers()})
@@ -53,6 +65,22 @@
 	return h
 }
 
+func demandToWire(demand []sched.TeamDemand) []*pb.TeamDemand {
+	var out []*pb.TeamDemand
+	for _, d := range demand {
+		out = append(out, &pb.TeamDemand{Team: d.Team, Offered: float32(d.Offered), Admitted: float32(d.Admitted)})
+	}
+	return out
+}
+
+func demandFromWire(demand []*pb.TeamDemand) []sched.TeamDemand {
+	var out []sched.TeamDemand
+	for _, d := range demand {
+		out = append(out, sched.TeamDemand{Team: d.GetTeam(), Offered: float64(d.GetOffered()), Admitted: float64(d.GetAdmitted())})
+	}
+	return out
+}
+
 func eventToWire(e sched.Event) *pb.Event {
 	return &pb.Event{
 		Wall:     e.Stamp.Wall,
