--- a/internal/process/daemon/metrics.go
+++ b/internal/process/daemon/metrics.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,7 +55,6 @@
 // meters holds the metrics of one instance.
 type meters struct {
 	set         *metrics.Set
-	requests    map[sched.Outcome]*metrics.Counter
 	duration    *metrics.Histogram
 	submissions map[string]*metrics.Counter
 	heartbeats  map[string]*metrics.Counter
@@ -68,13 +68,13 @@
 // gauges are read when the metrics are written.
 type gauges struct {
 	inFlight, version, ready, planner, queued, placed, displaced func() float64
+	requests func(sched.Outcome) float64
 }
 
 func newMeters(g gauges) *meters {
 	s := metrics.NewSet()
 	m := &meters{
 		set:         s,
-		requests:    map[sched.Outcome]*metrics.Counter{},
 		duration:    s.NewHistogram("parsleybarrow_request_duration_seconds"),
 		submissions: counters(s, "parsleybarrow_submissions_total", "accepted", "refused", "unknown"),
 		heartbeats:  counters(s, "parsleybarrow_heartbeats_total", resultOK, resultFailed),
@@ -85,7 +85,7 @@
 		messages:    s.NewCounter("parsleybarrow_control_messages_total"),
 	}
 	for o, n := range outcomeNames {
-		m.requests[o] = s.NewCounter(fmt.Sprintf("parsleybarrow_requests_total{outcome=%q}", n))
+		s.NewGauge(fmt.Sprintf("parsleybarrow_requests_total{outcome=%q}", n), func() float64 { return g.requests(o) })
 	}
 	s.NewGauge("parsleybarrow_requests_in_flight", g.inFlight)
 	s.NewGauge("parsleybarrow_config_version", g.version)
@@ -112,3 +112,14 @@
 	}
 	return resultOK
 }
+
+// appendResult is the label value that goes with the error of an append.
+func appendResult(err error) string {
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, sched.ErrUnavailable):
+		return resultFailed
+	}
+	return resultUncertain
+}
--- /dev/null
+++ b/internal/process/daemon/setup.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/conn/pool"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/claims"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/gate"
+	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
+	"github.com/parsleybarrow/parsleybarrow/pkg/admit"
+	"github.com/parsleybarrow/parsleybarrow/pkg/event"
+	"github.com/parsleybarrow/parsleybarrow/pkg/quota"
+	"github.com/parsleybarrow/parsleybarrow/pkg/route"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/stamp"
+)
+
+// init makes what the goroutines share.
+func (d *Daemon) init() {
+	d.initOnce.Do(func() {
+		d.killed, d.failed = make(chan struct{}), make(chan error, 1)
+		d.flush = make(chan struct{}, 1)
+		if d.Logger == nil {
+			d.Logger = zap.NewNop()
+		}
+		d.stamps = &stamp.Clock{Wall: d.Clock}
+		d.events = &event.Ring{Instance: d.ID, Clock: d.stamps, Size: d.EventsKept}
+		d.view.Store(&view{reason: reasonNoConfig})
+		d.initTraffic()
+		d.meters = newMeters(d.gauges())
+	})
+}
+
+// initTraffic makes the request path. It reads views and never waits for the
+// control actor.
+func (d *Daemon) initTraffic() {
+	d.gate = gate.New(d.Clock, admit.Shares{}, d.Seed)
+	d.router = &route.Router{Region: d.Region, DataCentre: d.DataCentre, Seed: d.Seed}
+	d.quotas = quota.NewGate()
+	d.pool = &pool.Pool{
+		Clock:        d.Clock,
+		Bound:        func(m sched.Member) int { return route.Bound(m, d.view.Load().largestEntries()) },
+		AnswerBuffer: func() int64 { return d.view.Load().limits().AnswerBuffer },
+	}
+	d.claims = &claims.Keeper{
+		Log: d.Log, Clock: d.Clock, Incarnation: d.Incarnation, Shards: d.Shards,
+		Limits: d.claimLimits,
+		Nonce:  nonces(d.Seed, d.Incarnation),
+	}
+	d.proxy = &proxy.Proxy{
+		Clock:    d.Clock,
+		Settings: func() *sched.Settings { return d.view.Load().settings },
+		Admit:    d.gate,
+		Route:    d.router,
+		Sender:   d.pool,
+		Claims:   d.claims,
+		Quota:    teamQuota{d.quotas},
+		Events:   func(e sched.Event) { d.events.Add(e) },
+		MaxBody:  d.MaxBody,
+		Seed:     d.Seed,
+	}
+	if d.UncheckedDuplicates {
+		d.proxy.Claims = uncheckedClaims{}
+	}
+}
+
+func (d *Daemon) claimLimits() claims.Limits {
+	v := d.view.Load()
+	l := v.limits()
+	return claims.Limits{Window: l.DedupWindow, ClockBound: l.ClockBound, Instances: v.largestEntries()}
+}
+
+// nonces returns a source of numbers that differ between incarnations and
+// within one.
+func nonces(seed uint64, n sched.Incarnation) func() uint64 {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, uint64(n)))
+	return func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Uint64()
+	}
+}
+
+// teamQuota adapts quota.Gate to the proxy.
+type teamQuota struct{ gate *quota.Gate }
+
+// quotaPause is the time after which a team's bucket has filled again: quotas
+// are per second.
+const quotaPause = time.Second
+
+// Take implements proxy.Quota. Requests without a team have no quota.
+func (q teamQuota) Take(team string, now time.Time) (time.Duration, bool) {
+	if team == "" || q.gate.Allow(now, team) {
+		return 0, true
+	}
+	return quotaPause, false
+}
+
+func (d *Daemon) gauges() gauges {
+	number := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	return gauges{
+		inFlight:  func() float64 { return float64(d.proxy.Running()) },
+		version:   func() float64 { return float64(d.view.Load().version()) },
+		ready:     func() float64 { return number(d.view.Load().ready) },
+		planner:   func() float64 { return number(d.view.Load().planner == d.ID) },
+		queued:    func() float64 { return float64(d.view.Load().queued) },
+		placed:    func() float64 { return float64(d.view.Load().placed) },
+		displaced: func() float64 { return float64(d.events.Displaced()) },
+		requests:  d.requestsEnded,
+	}
+}
+
+// requestsEnded sums the proxy's counts by outcome.
+func (d *Daemon) requestsEnded(o sched.Outcome) float64 {
+	sum := uint64(0)
+	for code, n := range d.proxy.Counts() {
+		if code.Outcome() == o {
+			sum += n
+		}
+	}
+	return float64(sum)
+}
+
+// loops are the goroutines that feed the control actor.
+func (d *Daemon) loops() []func(context.Context) {
+	out := []func(context.Context){
+		d.tickLoop, d.listLoop, d.beatLoop, d.usageLoop, d.snapshotLoop,
+		func(c context.Context) { _ = d.claims.Run(c) },
+	}
+	for _, f := range d.feeds() {
+		out = append(out, func(c context.Context) { d.follow(c, f) })
+	}
+	return out
+}
