--- a/internal/process/daemon/beat.go
+++ b/internal/process/daemon/beat.go
@@ -173,4 +173,3 @@
 
 // Events implements peer.Local.
 func (l local) Events(f sched.Filter) []sched.Event { return l.d.events.Select(f) }
-
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -73,6 +73,8 @@
 	pool   *pool.Pool
 	claims *claims.Keeper
 	quotas *quota.Gate
+	// scribes holds a *scribe per data centre.
+	scribes sync.Map
 
 	killOnce sync.Once
 	killed   chan struct{}
--- a/internal/process/daemon/metrics.go
+++ b/internal/process/daemon/metrics.go
@@ -68,7 +68,7 @@
 // gauges are read when the metrics are written.
 type gauges struct {
 	inFlight, version, ready, planner, queued, placed, displaced func() float64
-	requests func(sched.Outcome) float64
+	requests                                                     func(sched.Outcome) float64
 }
 
 func newMeters(g gauges) *meters {
--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
-	"github.com/parsleybarrow/parsleybarrow/pkg/event"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -23,17 +22,6 @@
 
 func (c *control) taskReadFailed(time.Time) {}
 
-// taskKinds are the kinds of events that entries about tasks stand for.
-var taskKinds = map[sched.EntryKind]sched.EventKind{
-	sched.EntryAccepted:     event.KindAccepted,
-	sched.EntryPlaced:       event.KindPlaced,
-	sched.EntryStarted:      event.KindTaskStarted,
-	sched.EntryEnded:        event.KindTaskEnded,
-	sched.EntryCheckpointed: event.KindCheckpointed,
-	sched.EntryExpired:      event.KindExpired,
-	sched.EntryCancelled:    event.KindTaskCancelled,
-}
-
 func taskPage(c *control, _, _ time.Time, p sched.Page) {
 	for _, r := range p.Records {
 		record, err := codec.DecodeTaskRecord(r.Data)
@@ -56,9 +44,9 @@
 	})
 }
 
-func (c *control) step(time.Time)                      {}
-func (c *control) planSettings(time.Time)              {}
-func (c *control) listRead(time.Time)                  {}
+func (c *control) step(time.Time)                       {}
+func (c *control) planSettings(time.Time)               {}
+func (c *control) listRead(time.Time)                   {}
 func (c *control) peerHeard(time.Time, sched.Heartbeat) {}
 
 func (d *Daemon) endTerm(context.Context) {}
--- a/internal/process/daemon/setup.go
+++ b/internal/process/daemon/setup.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/conn/pool"
@@ -50,7 +51,7 @@
 	d.claims = &claims.Keeper{
 		Log: d.Log, Clock: d.Clock, Incarnation: d.Incarnation, Shards: d.Shards,
 		Limits: d.claimLimits,
-		Nonce:  nonces(d.Seed, d.Incarnation),
+		Nonce:  nonces(d.Seed, d.ID, d.Incarnation),
 	}
 	d.proxy = &proxy.Proxy{
 		Clock:    d.Clock,
@@ -75,11 +76,13 @@
 	return claims.Limits{Window: l.DedupWindow, ClockBound: l.ClockBound, Instances: v.largestEntries()}
 }
 
-// nonces returns a source of numbers that differ between incarnations and
-// within one.
-func nonces(seed uint64, n sched.Incarnation) func() uint64 {
+// nonces returns a source of numbers that differ between instances, between
+// incarnations and within one. The id is part of the seed because two instances
+// may be started with the same seed and incarnation, and a nonce that two claims
+// share lets both of them win.
+func nonces(seed uint64, id sched.InstanceID, n sched.Incarnation) func() uint64 {
 	var mu sync.Mutex
-	r := rand.New(rand.NewPCG(seed, uint64(n)))
+	r := rand.New(rand.NewPCG(seed^xxhash.Sum64String(string(id)), uint64(n)))
 	return func() uint64 {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/process/daemon/view.go
+++ b/internal/process/daemon/view.go
@@ -20,12 +20,12 @@
 type view struct {
 	settings *sched.Settings
 	// rules are the settings compiled; nil without a configuration.
-	rules    *rules.Rules
-	ready    bool
-	reason   string
-	leaving  bool
-	members  *member.View
-	copied   sched.ConfigCopy
+	rules   *rules.Rules
+	ready   bool
+	reason  string
+	leaving bool
+	members *member.View
+	copied  sched.ConfigCopy
 	// planner is the instance that plans for the own data centre.
 	planner sched.InstanceID
 	term    sched.Offset
@@ -35,8 +35,8 @@
 	listUp  bool
 	// versions holds the configuration version that each peer last reported.
 	versions map[sched.InstanceID]sched.Offset
-	queued  int
-	placed  int
+	queued   int
+	placed   int
 }
 
 func (v *view) version() sched.Offset { return v.copied.Version }
@@ -57,4 +57,3 @@
 	}
 	return max(1, v.members.LargestEntries())
 }
-
--- a/internal/process/peer/service_test.go
+++ b/internal/process/peer/service_test.go
@@ -52,7 +52,7 @@
 		From: "a", Incarnation: 2, DataCentre: "dc", Region: "r", Address: "127.0.0.1:1", State: sched.StateLeaving,
 		SentAt: time.Unix(3, 4), Version: 5, TaskApplied: 6, TermSeen: 7, LogReached: time.Unix(8, 9),
 		Demand: []sched.TeamDemand{{Team: "t", Offered: 1.5, Admitted: 0.5}},
-		Areas: []sched.AreaDemand{{DataCentre: "d", Instances: 3, AsOf: time.Unix(5, 6), Demand: []sched.TeamDemand{{Team: "u", Offered: 2}}}},
+		Areas:  []sched.AreaDemand{{DataCentre: "d", Instances: 3, AsOf: time.Unix(5, 6), Demand: []sched.TeamDemand{{Team: "u", Offered: 2}}}},
 		Totals: []sched.PartnerTotal{{Partner: "p", Service: "s", Answers: 11}},
 	}
 	back, err := c.Exchange(context.Background(), at, h)
