Drive the planner from the control actor

Submissions and cancellations of the own data centre go through the planner, those of others through a scribe that reads lost acknowledgements back. The planner learns who is gone only from reads of the list.

--- a/internal/process/daemon/beat.go
+++ b/internal/process/daemon/beat.go
@@ -99,7 +99,7 @@
 	h := sched.Heartbeat{
 		From: c.d.ID, Incarnation: c.d.Incarnation, DataCentre: c.d.DataCentre, Region: c.d.Region,
 		Address: c.d.address(), State: sched.StateLive, SentAt: time.Unix(0, c.d.stamps.Now().Wall),
-		Version: version, TaskApplied: c.tasks.Applied(), TermSeen: c.tasks.NewestTerm(), LogReached: c.logAt,
+		Version: version, TaskApplied: c.plan.ledger.Applied(), TermSeen: c.termSeen(), LogReached: c.logAt,
 		Totals: c.d.proxy.Totals(),
 	}
 	if c.leaving {
@@ -122,13 +122,13 @@
 	c.versions.Heard(now, h.Version)
 	c.peerHeard(now, h)
 	if c.versions.WantCopy(now, h.Version) && h.Address != "" {
-		go c.d.fetchConfig(h.Address)
+		c.d.spawn(func(x context.Context) { c.d.fetchConfig(x, h.Address) })
 	}
 }
 
 // fetchConfig takes the configuration in force over from a peer.
-func (d *Daemon) fetchConfig(address string) {
-	x, cancel := context.WithTimeout(context.Background(), listTime)
+func (d *Daemon) fetchConfig(c context.Context, address string) {
+	x, cancel := context.WithTimeout(c, listTime)
 	defer cancel()
 	if copied, err := d.PeerCall.FetchConfig(x, address); err == nil {
 		d.post(fetched{copied})
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -17,6 +17,7 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/event"
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
 	"github.com/parsleybarrow/parsleybarrow/pkg/member"
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/quota"
 	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -31,7 +32,6 @@
 	table    *member.Table
 	versions *versn.Replay
 	quota    *quota.Book
-	tasks    *ledger.Ledger
 	usage    *usage.Book
 	plan     planning
 
@@ -106,12 +106,14 @@
 		table:    member.New(now, member.Options{Self: d.self()}),
 		versions: versn.New(versn.Options{Self: d.ID, Retention: d.LogRetention, Decode: codec.DecodeConfig}),
 		quota:    quota.New(quota.Options{Self: d.ID, DataCentre: d.DataCentre}),
-		tasks:    ledger.New(),
 		usage:    &usage.Book{},
 		states:   map[sched.InstanceID]sched.State{},
 		reported: map[sched.InstanceID]sched.Offset{},
 		logUp:    true,
 		listUp:   true,
+		plan: planning{
+			ledger: ledger.New(), tickets: map[uint64]chan plan.Reply{}, peers: map[sched.InstanceID]plan.PeerTerm{},
+		},
 	}
 	// The actor system logs its own start and stop, which are no changes of
 	// state of the instance.
@@ -125,6 +127,11 @@
 	d.system.Shutdown()
 }
 
+// planner is the instance that should plan for a data centre.
+func planner(v *member.View, d sched.DataCentre) (sched.InstanceID, bool) {
+	return rendez.Planner(d).Owner(v.Candidates(d))
+}
+
 // publish makes a new view for the traffic goroutines.
 func (c *control) publish(now time.Time) {
 	old := c.d.view.Load()
@@ -135,13 +142,13 @@
 		leaving:  c.leaving,
 		members:  c.table.View(),
 		copied:   c.versions.Copy(),
-		applied:  c.tasks.Applied(),
-		term:     c.tasks.NewestTerm(),
+		applied:  c.plan.ledger.Applied(),
+		term:     c.plan.ledger.NewestTerm(),
 		logAt:    c.logAt,
 		logUp:    c.logUp,
 		listUp:   c.listUp,
 	}
-	v.planner, _ = rendez.Planner(c.d.DataCentre).Owner(v.members.Candidates(c.d.DataCentre))
+	v.planner, _ = planner(v.members, c.d.DataCentre)
 	v.ready, v.reason = c.readiness(now)
 	v.queued, v.placed = c.plan.queued, c.plan.placed
 	c.d.view.Store(v)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -76,6 +76,10 @@
 	// scribes holds a *scribe per data centre.
 	scribes sync.Map
 
+	// work ends the calls that the planner asked for.
+	work  context.Context
+	calls sync.WaitGroup
+
 	killOnce sync.Once
 	killed   chan struct{}
 	failed   chan error
@@ -94,8 +98,9 @@
 	d.init()
 	work, stop := context.WithCancel(context.WithoutCancel(c))
 	defer stop()
-	d.startControl()
 	loops, work := errgroup.WithContext(work)
+	d.work = work
+	d.startControl()
 	for _, l := range d.loops() {
 		loops.Go(func() error { l(work); return nil })
 	}
@@ -115,6 +120,7 @@
 	_ = loops.Wait()
 	d.pool.Close()
 	d.stopControl()
+	d.calls.Wait()
 	return err
 }
 
@@ -125,6 +131,9 @@
 	d.killOnce.Do(func() { close(d.killed) })
 }
 
+// spawn runs f beside the control actor until the instance stops.
+func (d *Daemon) spawn(f func(context.Context)) { d.calls.Go(func() { f(d.work) }) }
+
 func (d *Daemon) isKilled() bool {
 	select {
 	case <-d.killed:
--- a/internal/process/daemon/feed.go
+++ b/internal/process/daemon/feed.go
@@ -20,7 +20,6 @@
 	next    func(c *control) sched.Offset
 	page    func(c *control, now, began time.Time, p sched.Page)
 	trimmed func(c *control, earliest sched.Offset)
-	failed  func(c *control, now time.Time)
 }
 
 const (
@@ -28,15 +27,10 @@
 	readTime = 2 * time.Second
 	// configPause keeps a burst of changes below 8 KB/s per node.
 	configPause = time.Second
-	// taskPause lets an urgent task start well within the 1.8 s of the target.
-	taskPause  = 200 * time.Millisecond
-	taskLimit  = 500
-	usagePause = 2 * time.Second
-	usageLimit = 500
+	usagePause  = 2 * time.Second
+	usageLimit  = 500
 )
 
-func ignoreFailure(*control, time.Time) {}
-
 func (d *Daemon) feeds() []feed {
 	return []feed{
 		{
@@ -44,21 +38,12 @@
 			next:    func(c *control) sched.Offset { return c.versions.Next() },
 			page:    configPage,
 			trimmed: func(c *control, earliest sched.Offset) { c.versions.Trimmed(earliest) },
-			failed:  ignoreFailure,
-		},
-		{
-			stream: sched.TaskStreamPrefix + string(d.DataCentre), limit: taskLimit, pause: taskPause,
-			next:    func(c *control) sched.Offset { return c.taskNext() },
-			page:    taskPage,
-			trimmed: func(c *control, earliest sched.Offset) { c.taskTrimmed(earliest) },
-			failed:  func(c *control, now time.Time) { c.taskReadFailed(now) },
 		},
 		{
 			stream: sched.UsageStream, limit: usageLimit, pause: usagePause,
 			next:    func(c *control) sched.Offset { return c.usageAt + 1 },
 			page:    usagePage,
 			trimmed: func(c *control, earliest sched.Offset) { c.usageAt = earliest - 1 },
-			failed:  ignoreFailure,
 		},
 	}
 }
--- a/internal/process/daemon/message.go
+++ b/internal/process/daemon/message.go
@@ -28,7 +28,7 @@
 		c.quotaParts(now)
 		c.usage.Observe(c.d.ID, c.d.Incarnation, c.d.proxy.Totals())
 	}
-	c.step(now)
+	c.planTick(now)
 	c.publish(now)
 }
 
@@ -52,7 +52,7 @@
 	}
 	if m.err == nil {
 		c.table.List(now, m.members)
-		c.listRead(now)
+		c.listRead(now, m.members)
 	}
 	c.publish(now)
 }
@@ -78,7 +78,7 @@
 
 func (c *control) took(m paged) {
 	now := c.d.Clock.Now()
-	c.logState(m, now)
+	c.logState(m.feed.stream, m.began, m.err, now)
 	var trimmed *sched.TrimmedError
 	switch {
 	case m.err == nil:
@@ -87,17 +87,17 @@
 	case errors.As(m.err, &trimmed):
 		m.feed.trimmed(c, trimmed.Earliest)
 	default:
-		m.feed.failed(c, now)
+		// The next read tries again; logState has noted the failure.
 	}
 	c.publish(now)
 }
 
 // logState follows whether the log answers. A trimmed read is an answer.
-func (c *control) logState(m paged, now time.Time) {
+func (c *control) logState(stream string, began time.Time, err error, now time.Time) {
 	var trimmed *sched.TrimmedError
-	up := m.err == nil || errors.As(m.err, &trimmed)
+	up := err == nil || errors.As(err, &trimmed)
 	if up {
-		c.logAt = m.began
+		c.logAt = began
 		c.versions.LogReached(now)
 	}
 	if up == c.logUp {
@@ -108,7 +108,7 @@
 		c.d.change(event.KindLogBack, "")
 		return
 	}
-	c.d.change(event.KindLogLost, m.err.Error(), zap.String("stream", m.feed.stream))
+	c.d.change(event.KindLogLost, err.Error(), zap.String("stream", stream))
 }
 
 // configured puts a new version in force for traffic.
--- a/internal/process/daemon/report.go
+++ b/internal/process/daemon/report.go
@@ -31,9 +31,9 @@
 				u.RequestsAtInstance[fmt.Sprintf("%s/%d", e.Instance, e.Incarnation)] += e.Answers
 			}
 		}
-		u.Runs[string(d.DataCentre)] = k.tasks.Usage(partner, now).Runs
+		u.Runs[string(d.DataCentre)] = k.plan.ledger.Usage(partner, now).Runs
 		u.AsOf[sched.UsageStream] = int64(k.usageAt)
-		u.AsOf[sched.TaskStreamPrefix+string(d.DataCentre)] = int64(k.tasks.Applied())
+		u.AsOf[sched.TaskStreamPrefix+string(d.DataCentre)] = int64(k.plan.ledger.Applied())
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/process/daemon/scribe.go
+++ b/internal/process/daemon/scribe.go
@@ -23,6 +23,10 @@
 	readBackTries = 10
 )
 
+// scribeSerials is where a scribe begins to number its records, far from the
+// planner, which numbers those of the same writer from 1 on.
+const scribeSerials = 1 << 32
+
 // scribe appends the entries of callers to one task stream, many per record.
 type scribe struct {
 	d      *Daemon
@@ -46,7 +50,9 @@
 // once it is confirmed, an error that is sched.ErrUnavailable if it was not
 // appended, and any other error if that is unknown.
 func (d *Daemon) submit(c context.Context, centre sched.DataCentre, e sched.TaskEntry) error {
-	v, _ := d.scribes.LoadOrStore(centre, &scribe{d: d, stream: sched.TaskStreamPrefix + string(centre)})
+	v, _ := d.scribes.LoadOrStore(centre, &scribe{
+		d: d, stream: sched.TaskStreamPrefix + string(centre), serial: scribeSerials,
+	})
 	s := v.(*scribe)
 	x := submission{e, make(chan error, 1)}
 	s.mu.Lock()
--- a/internal/process/daemon/tasks.go
+++ b/internal/process/daemon/tasks.go
@@ -12,6 +12,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/admin"
 	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/event"
+	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -88,9 +89,7 @@
 		return t.ID, refuse(sched.CodeBadRequest, "dataCentre: %q is not in the configuration in force", s.DataCentre)
 	}
 	if centre == d.DataCentre {
-		if done, err := d.knownTask(c, t); done || err != nil {
-			return t.ID, err
-		}
+		return t.ID, d.request(c, func(n uint64) plan.Input { return plan.Submitted{Ticket: n, Task: t} })
 	}
 	return t.ID, d.submit(c, centre, sched.TaskEntry{Kind: sched.EntryAccepted, Task: t})
 }
@@ -129,27 +128,6 @@
 	return t, nil
 }
 
-// knownTask tells whether the task is on record already, and refuses one that
-// fits no worker.
-func (d *Daemon) knownTask(c context.Context, t sched.Task) (bool, error) {
-	var known, fits bool
-	var largest sched.Resources
-	err := d.ask(c, func(k *control) {
-		_, known = k.tasks.Task(t.ID)
-		fits, largest = k.tasks.FitsEver(t.Needs)
-	})
-	switch {
-	case err != nil:
-		return false, refuse(sched.CodeNotReady, "%v", err)
-	case !known && !fits:
-		return false, refuse(sched.CodeNeverFits,
-			"the task needs %d thousandths of a processor, %d bytes and %d accelerators; the largest fit is %d, %d and %d",
-			t.Needs.Processors, t.Needs.Memory, t.Needs.Accelerators,
-			largest.Processors, largest.Memory, largest.Accelerators)
-	}
-	return known, nil
-}
-
 func (d *Daemon) serveTask(w http.ResponseWriter, r *http.Request) {
 	c, cancel := context.WithTimeout(r.Context(), askTime)
 	defer cancel()
@@ -172,7 +150,7 @@
 	known := false
 	err := d.ask(c, func(k *control) {
 		var t *sched.TaskStatus
-		if t, known = k.tasks.Task(id); known {
+		if t, known = k.plan.ledger.Task(id); known {
 			a.State, a.Attempt, a.Worker = taskStates[t.State], int(t.Attempt), string(t.Worker)
 			a.Message = t.Reason
 		}
@@ -190,25 +168,14 @@
 	c, cancel := context.WithTimeout(r.Context(), submitTime)
 	defer cancel()
 	id := sched.TaskID(r.PathValue("id"))
-	a, err := d.taskState(c, id)
-	if err == nil && finalNames[a.State] {
-		err = refuse(sched.CodeTaskEnded, "the task is %s", a.State)
-	}
-	if err == nil {
-		err = d.submit(c, d.DataCentre, sched.TaskEntry{Kind: sched.EntryCancelled, TaskID: id})
-	}
+	a := admin.TaskAnswer{Task: string(id)}
+	err := d.request(c, func(n uint64) plan.Input { return plan.CancelRequested{Ticket: n, Task: id} })
 	if err == nil {
 		d.events.Add(sched.Event{Kind: event.KindTaskCancelled, Task: id})
 	}
 	d.answerTask(w, codeOf(err, sched.CodeAccepted), err, a)
 }
 
-var finalNames = map[string]bool{
-	taskStates[sched.TaskDone]:      true,
-	taskStates[sched.TaskFailed]:    true,
-	taskStates[sched.TaskCancelled]: true,
-}
-
 // codeOf returns the code of a submission's error.
 func codeOf(err error, success sched.Code) sched.Code {
 	var r *refusal
