--- /dev/null
+++ b/internal/process/cli/ask.go
@@ -0,0 +1,172 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/process/admin"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// refused turns an instance's refusal into the exit code.
+func refused(err error) error {
+	var r *admin.RefusedError
+	if errors.As(err, &r) {
+		return fail(sched.ExitRefused, err)
+	}
+	return err
+}
+
+// statusCmd shows the state of an instance.
+type statusCmd struct {
+	Admin   address `default:"127.0.0.1:7703" help:"Admin address of an instance."`
+	Partner string  `help:"Print the requests and runs of this partner."`
+}
+
+// Run implements the command.
+func (x *statusCmd) Run(c context.Context, p *Program) error {
+	if x.Partner != "" {
+		return x.usage(c, p)
+	}
+	var s admin.Status
+	if err := client(x.Admin).Get(c, "/status", nil, &s); err != nil {
+		return refused(err)
+	}
+	ready := "ready"
+	if !s.Ready {
+		ready = "not ready: " + s.Reason
+	}
+	fmt.Fprintf(p.Stdout, "instance %s, %s, data centre %s, region %s: %s\n", s.Instance, s.State, s.DataCentre, s.Region, ready)
+	fmt.Fprintf(p.Stdout, "version %d, planner %s, term %d, tasks %d queued and %d placed\n",
+		s.Version, s.Planner, s.Term, s.Tasks["queued"], s.Tasks["placed"])
+	fmt.Fprintf(p.Stdout, "log reached: %t, list reached: %t\n", s.LogReached, s.ListReached)
+	for _, q := range s.Peers {
+		fmt.Fprintf(p.Stdout, "peer %s, %s, data centre %s, version %d\n", q.Instance, q.State, q.DataCentre, q.Version)
+	}
+	return nil
+}
+
+func (x *statusCmd) usage(c context.Context, p *Program) error {
+	var u admin.Usage
+	if err := client(x.Admin).Get(c, "/usage", url.Values{"partner": {x.Partner}}, &u); err != nil {
+		return refused(err)
+	}
+	fmt.Fprintf(p.Stdout, "partner %s\nrequests %d\n", u.Partner, u.Requests)
+	for _, k := range slices.Sorted(maps.Keys(u.RequestsAtInstance)) {
+		fmt.Fprintf(p.Stdout, "requests at %s: %d\n", k, u.RequestsAtInstance[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(u.Runs)) {
+		fmt.Fprintf(p.Stdout, "runs in %s: %d\n", k, u.Runs[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(u.AsOf)) {
+		fmt.Fprintf(p.Stdout, "stream %s read up to %d\n", k, u.AsOf[k])
+	}
+	return nil
+}
+
+// submitCmd submits a task.
+type submitCmd struct {
+	Kind       string  `arg:"" help:"Kind of the task."`
+	Callers    address `default:"127.0.0.1:7701" help:"Address for callers of an instance."`
+	Partner    string  `required:"" help:"Partner that the task runs for."`
+	Team       string  `help:"Team of the partner."`
+	ID         string  `help:"Id of the task; a new one if not set. Submitting an id again is safe."`
+	DataCentre string  `help:"Data centre to run in; that of the instance if not set."`
+	RunTime    string  `help:"Expected run time such as 90s; that of the kind if not set."`
+}
+
+// Run implements the command.
+func (x *submitCmd) Run(c context.Context, p *Program) error {
+	if x.ID == "" {
+		x.ID = uuid.Must(uuid.NewV7()).String()
+	}
+	s := admin.Submission{
+		ID: x.ID, Kind: x.Kind, Partner: x.Partner, Team: x.Team, DataCentre: x.DataCentre, RunTime: x.RunTime,
+	}
+	var a admin.TaskAnswer
+	if err := client(x.Callers).Post(c, "/tasks", s, &a); err != nil {
+		return refused(fmt.Errorf("task %s: %w", x.ID, err))
+	}
+	fmt.Fprintf(p.Stdout, "%s %s\n", a.Name, x.ID)
+	return nil
+}
+
+// cancelCmd cancels a task.
+type cancelCmd struct {
+	ID      string  `arg:"" help:"Id of the task."`
+	Callers address `default:"127.0.0.1:7701" help:"Address for callers of an instance in the task's data centre."`
+}
+
+// Run implements the command.
+func (x *cancelCmd) Run(c context.Context, p *Program) error {
+	var a admin.TaskAnswer
+	if err := client(x.Callers).Delete(c, "/tasks/"+url.PathEscape(x.ID), &a); err != nil {
+		return refused(err)
+	}
+	fmt.Fprintf(p.Stdout, "%s %s\n", a.Name, x.ID)
+	return nil
+}
+
+// timelineCmd shows the merged events.
+type timelineCmd struct {
+	Admin    address       `default:"127.0.0.1:7703" help:"Admin address of an instance; it asks its peers."`
+	Instance string        `help:"Only events of this instance."`
+	Request  string        `help:"Only events of this request id."`
+	Task     string        `help:"Only events of this task id."`
+	Last     time.Duration `default:"1h" min:"1s" max:"720h" help:"Only events of this last time."`
+	Limit    int           `default:"1000" min:"1" max:"10000" help:"Most events to show; the newest are kept."`
+}
+
+// Run implements the command.
+func (x *timelineCmd) Run(c context.Context, p *Program) error {
+	q := url.Values{
+		"instance": {x.Instance}, "request": {x.Request}, "task": {x.Task}, "limit": {fmt.Sprint(x.Limit)},
+		"since": {fmt.Sprint(time.Now().Add(-x.Last).UnixNano())},
+	}
+	var t admin.Timeline
+	if err := client(x.Admin).Get(c, "/timeline", q, &t); err != nil {
+		return refused(err)
+	}
+	for _, e := range t.Events {
+		fmt.Fprintf(p.Stdout, "%s %-12s %-16s", e.Time().UTC().Format("2006-01-02T15:04:05.000000Z"), e.Instance, e.Kind)
+		for _, part := range []struct{ name, value string }{{"request", e.Request}, {"task", e.Task}, {"detail", e.Detail}} {
+			if part.value != "" {
+				fmt.Fprintf(p.Stdout, " %s=%q", part.name, part.value)
+			}
+		}
+		if e.Version != 0 {
+			fmt.Fprintf(p.Stdout, " version=%d", e.Version)
+		}
+		fmt.Fprintln(p.Stdout)
+	}
+	if len(t.Missing) > 0 {
+		return failf(sched.ExitIncomplete, "no answer from %v", t.Missing)
+	}
+	return nil
+}
+
+// declareDeadCmd asserts that nothing runs any more.
+type declareDeadCmd struct {
+	Admin      address `default:"127.0.0.1:7703" help:"Admin address of an instance."`
+	DataCentre string  `required:"" help:"Data centre of the instance."`
+	Instance   string  `help:"Instance that is dead; the whole data centre if not set."`
+	Sure       bool    `required:"" help:"Confirms that nothing runs there any more: a wrong word makes tasks run twice."`
+}
+
+// Run implements the command.
+func (x *declareDeadCmd) Run(c context.Context, p *Program) error {
+	q := url.Values{"dataCentre": {x.DataCentre}, "instance": {x.Instance}}
+	var a admin.TaskAnswer
+	if err := client(x.Admin).Post(c, "/declare-dead?"+q.Encode(), nil, &a); err != nil {
+		return refused(err)
+	}
+	fmt.Fprintf(p.Stdout, "declared dead: %s %s\n", x.DataCentre, x.Instance)
+	return nil
+}
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -103,7 +103,7 @@
 	now := d.Clock.Now()
 	c := &control{
 		d:        d,
-		table:    member.New(now, member.Options{Self: d.self()}),
+		table:    member.New(now, member.Options{Self: d.self(), Silence: d.Silence, Hysteresis: d.Hysteresis}),
 		versions: versn.New(versn.Options{Self: d.ID, Retention: d.LogRetention, Decode: codec.DecodeConfig}),
 		quota:    quota.New(quota.Options{Self: d.ID, DataCentre: d.DataCentre}),
 		usage:    &usage.Book{},
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -56,6 +56,9 @@
 	EventsKept int
 	// MaxBody bounds a caller's request in bytes, 0 for the proxy's default.
 	MaxBody int64
+	// Silence and Hysteresis are those of package member, 0 for its defaults.
+	Silence    time.Duration
+	Hysteresis time.Duration
 	// UncheckedDuplicates sends unrepeatable requests without a claim. It
 	// exists to show that the observers of the demo see doubled runs.
 	UncheckedDuplicates bool
--- /dev/null
+++ b/internal/process/daemon/failure_test.go
@@ -0,0 +1,189 @@
+package daemon_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/process/admin"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/daemon"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// quick lets responsibilities move within a test's patience. No verdict
+// depends on these times.
+func quick(d *daemon.Daemon) { d.Silence, d.Hysteresis = 1500*time.Millisecond, 500*time.Millisecond }
+
+func (i *instance) status() admin.Status {
+	var s admin.Status
+	_, text := i.admin("/status")
+	_ = json.Unmarshal([]byte(text), &s)
+	return s
+}
+
+// Guards against a version that reverts, or is in force at some instances
+// only, when an instance dies while a change is applied.
+func TestKillDuringApply(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	first := r.apply(rigConfig)
+	a, b := r.start("a", 1, quick), r.start("b", 1, quick)
+	r.ready(a)
+	r.ready(b)
+	done := make(chan sched.Offset)
+	go func() { done <- r.apply(strings.Replace(rigConfig, "5s}}", "4s}}", 1)) }()
+	a.Kill()
+	second := <-done
+	i.True(second > first)
+	r.until("in force at the survivor", func() bool { return b.status().Version == int64(second) })
+	c := r.start("a", 2, quick)
+	r.until("in force at the replacement", func() bool {
+		s := c.status()
+		i.True(!s.Ready || s.Version == int64(second)) // never ready under the older version
+		return s.Ready
+	})
+	i.Equal(b.status().Version, int64(second))
+}
+
+// Guards against a planner that wakes up from a pause and commands workers
+// under a term that another instance has taken over meanwhile.
+func TestPausedPlannerRunsNothingTwice(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	all := map[string]*instance{"a": r.start("a", 1, quick), "b": r.start("b", 1, quick)}
+	for _, x := range all {
+		r.ready(x)
+		r.until("the task stream is read", func() bool { s, _ := x.submit("first"); return s == 202 })
+	}
+	var old string
+	r.until("a planner", func() bool {
+		old = all["a"].status().Planner
+		return old != "" && old == all["b"].status().Planner && all[old].status().Term > 0
+	})
+	other := all[map[string]string{"a": "b", "b": "a"}[old]]
+	resume := all[old].Pause()
+	defer func() {
+		if resume != nil {
+			resume()
+		}
+	}()
+	r.until("the other plans", func() bool { return other.status().Planner == string(other.ID) })
+	accepted := []string{"first"}
+	for range 20 {
+		id := newID()
+		if status, _ := other.submit(id); status == 202 {
+			accepted = append(accepted, id)
+		}
+	}
+	r.until("runs under the new term", func() bool { return r.workers.Observer().Counts().Finished >= len(accepted) })
+	resume()
+	resume = nil
+	r.until("the paused one reads the newer term", func() bool {
+		return all[old].status().Term >= other.status().Term
+	})
+	i.Equal(len(accepted), 21)
+	c := r.workers.Observer().Counts()
+	i.Equal(c.DoubleRuns+c.DoubleFinishes+c.DuplicateStarts+c.Overcommitted, 0)
+	i.Equal(c.Finished, len(accepted))
+}
+
+// Guards against a shutdown that cuts requests or takes new ones after the
+// drain delay (I8).
+func TestDrainUnderLoadCutsNothing(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	a, b := r.start("a", 1), r.start("b", 1)
+	r.ready(a)
+	r.ready(b)
+	r.backend.hold = make(chan struct{})
+	const load = 6
+	answers := make(chan int, load)
+	for n := range load {
+		go func() {
+			status, _, _ := a.call(newID(), n%2 == 0)
+			answers <- status
+		}()
+	}
+	for range load {
+		<-r.backend.in
+	}
+	a.stop()
+	r.until("not ready", func() bool { s, text := a.admin("/readyz"); return s == 503 && strings.Contains(text, "shutting down") })
+	r.until("new requests are refused", func() bool {
+		_, header, _ := a.call("late", false)
+		return header.Get(sched.HeaderCode) == "414" && header.Get(sched.HeaderOutcome) == "refusedNotRun"
+	})
+	r.until("the peer knows", func() bool {
+		for _, p := range b.status().Peers {
+			if p.Instance == "a" {
+				return p.State == "leaving"
+			}
+		}
+		return false
+	})
+	close(r.backend.hold)
+	for range load {
+		i.Equal(<-answers, 200)
+	}
+	i.NoErr(<-a.done)
+}
+
+// Guards against a second run of a request whose holder died before its
+// outcome was recorded.
+func TestOpenRequestOfADeadInstanceIsUnknownAtItsReplacement(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	a := r.start("a", 1)
+	r.ready(a)
+	r.backend.hold = make(chan struct{})
+	id := newID()
+	go a.call(id, true)
+	<-r.backend.in
+	a.Kill()
+	close(r.backend.hold)
+	b := r.start("a", 2)
+	r.ready(b)
+	_, header, _ := b.call(id, true)
+	i.Equal(header.Get(sched.HeaderOutcome), "unknown")
+	r.backend.mu.Lock()
+	defer r.backend.mu.Unlock()
+	i.Equal(r.backend.runs[id], 1)
+}
+
+// Guards against answers that are billed twice or lost when an instance shuts
+// down or dies: the totals survive in the stream and at the peers.
+func TestUsageSurvivesShutdownAndDeath(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	a, b := r.start("a", 1), r.start("b", 1)
+	r.ready(a)
+	r.ready(b)
+	requests := func(x *instance) int64 {
+		var u admin.Usage
+		_, text := x.admin("/usage?partner=tunog")
+		_ = json.Unmarshal([]byte(text), &u)
+		return u.Requests
+	}
+	for range 3 {
+		a.call(newID(), false)
+	}
+	a.stop()
+	i.NoErr(<-a.done)
+	c := r.start("c", 1)
+	r.ready(c)
+	r.until("the totals of the one that shut down are read", func() bool { return requests(c) == 3 })
+	for range 2 {
+		b.call(newID(), false)
+	}
+	r.until("the peer has heard the totals", func() bool { return requests(c) == 5 })
+	b.Kill()
+	c.call(newID(), false)
+	r.until("all are counted once", func() bool { return requests(c) == 6 })
+}
