--- a/internal/process/cli/ask.go
+++ b/internal/process/cli/ask.go
@@ -43,12 +43,12 @@
 	if !s.Ready {
 		ready = "not ready: " + s.Reason
 	}
-	fmt.Fprintf(p.Stdout, "instance %s, %s, data centre %s, region %s: %s\n", s.Instance, s.State, s.DataCentre, s.Region, ready)
-	fmt.Fprintf(p.Stdout, "version %d, planner %s, term %d, tasks %d queued and %d placed\n",
+	p.printf("instance %s, %s, data centre %s, region %s: %s\n", s.Instance, s.State, s.DataCentre, s.Region, ready)
+	p.printf("version %d, planner %s, term %d, tasks %d queued and %d placed\n",
 		s.Version, s.Planner, s.Term, s.Tasks["queued"], s.Tasks["placed"])
-	fmt.Fprintf(p.Stdout, "log reached: %t, list reached: %t\n", s.LogReached, s.ListReached)
+	p.printf("log reached: %t, list reached: %t\n", s.LogReached, s.ListReached)
 	for _, q := range s.Peers {
-		fmt.Fprintf(p.Stdout, "peer %s, %s, data centre %s, version %d\n", q.Instance, q.State, q.DataCentre, q.Version)
+		p.printf("peer %s, %s, data centre %s, version %d\n", q.Instance, q.State, q.DataCentre, q.Version)
 	}
 	return nil
 }
@@ -58,15 +58,15 @@
 	if err := client(x.Admin).Get(c, "/usage", url.Values{"partner": {x.Partner}}, &u); err != nil {
 		return refused(err)
 	}
-	fmt.Fprintf(p.Stdout, "partner %s\nrequests %d\n", u.Partner, u.Requests)
+	p.printf("partner %s\nrequests %d\n", u.Partner, u.Requests)
 	for _, k := range slices.Sorted(maps.Keys(u.RequestsAtInstance)) {
-		fmt.Fprintf(p.Stdout, "requests at %s: %d\n", k, u.RequestsAtInstance[k])
+		p.printf("requests at %s: %d\n", k, u.RequestsAtInstance[k])
 	}
 	for _, k := range slices.Sorted(maps.Keys(u.Runs)) {
-		fmt.Fprintf(p.Stdout, "runs in %s: %d\n", k, u.Runs[k])
+		p.printf("runs in %s: %d\n", k, u.Runs[k])
 	}
 	for _, k := range slices.Sorted(maps.Keys(u.AsOf)) {
-		fmt.Fprintf(p.Stdout, "stream %s read up to %d\n", k, u.AsOf[k])
+		p.printf("stream %s read up to %d\n", k, u.AsOf[k])
 	}
 	return nil
 }
@@ -94,7 +94,7 @@
 	if err := client(x.Callers).Post(c, "/tasks", s, &a); err != nil {
 		return refused(fmt.Errorf("task %s: %w", x.ID, err))
 	}
-	fmt.Fprintf(p.Stdout, "%s %s\n", a.Name, x.ID)
+	p.printf("%s %s\n", a.Name, x.ID)
 	return nil
 }
 
@@ -110,7 +110,7 @@
 	if err := client(x.Callers).Delete(c, "/tasks/"+url.PathEscape(x.ID), &a); err != nil {
 		return refused(err)
 	}
-	fmt.Fprintf(p.Stdout, "%s %s\n", a.Name, x.ID)
+	p.printf("%s %s\n", a.Name, x.ID)
 	return nil
 }
 
@@ -135,16 +135,16 @@
 		return refused(err)
 	}
 	for _, e := range t.Events {
-		fmt.Fprintf(p.Stdout, "%s %-12s %-16s", e.Time().UTC().Format("2006-01-02T15:04:05.000000Z"), e.Instance, e.Kind)
+		p.printf("%s %-12s %-16s", e.Time().UTC().Format("2006-01-02T15:04:05.000000Z"), e.Instance, e.Kind)
 		for _, part := range []struct{ name, value string }{{"request", e.Request}, {"task", e.Task}, {"detail", e.Detail}} {
 			if part.value != "" {
-				fmt.Fprintf(p.Stdout, " %s=%q", part.name, part.value)
+				p.printf(" %s=%q", part.name, part.value)
 			}
 		}
 		if e.Version != 0 {
-			fmt.Fprintf(p.Stdout, " version=%d", e.Version)
+			p.printf(" version=%d", e.Version)
 		}
-		fmt.Fprintln(p.Stdout)
+		p.printf("\n")
 	}
 	if len(t.Missing) > 0 {
 		return failf(sched.ExitIncomplete, "no answer from %v", t.Missing)
@@ -167,6 +167,6 @@
 	if err := client(x.Admin).Post(c, "/declare-dead?"+q.Encode(), nil, &a); err != nil {
 		return refused(err)
 	}
-	fmt.Fprintf(p.Stdout, "declared dead: %s %s\n", x.DataCentre, x.Instance)
+	p.printf("declared dead: %s %s\n", x.DataCentre, x.Instance)
 	return nil
 }
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -28,8 +28,6 @@
 	Cancel      cancelCmd      `cmd:"" help:"Cancel a batch task."`
 	Timeline    timelineCmd    `cmd:"" help:"Show the merged events of all instances."`
 	DeclareDead declareDeadCmd `cmd:"" help:"Assert that nothing runs any more on an instance or in a data centre."`
-	Demo        demoCmd        `cmd:"" help:"Run three entry instances against stand-ins in this process."`
-	Soak        soakCmd        `cmd:"" help:"Drive load against running instances; scripts/soak starts them."`
 	Standin     standinCmd     `cmd:"" help:"Run stand-ins of the platform and of backend servers."`
 }
 
@@ -43,7 +41,7 @@
 	if err == nil {
 		return sched.ExitOK
 	}
-	fmt.Fprintf(p.Stderr, "parsleybarrow: %s\n", strings.ReplaceAll(err.Error(), "\n", "; "))
+	_, _ = fmt.Fprintf(p.Stderr, "parsleybarrow: %s\n", strings.ReplaceAll(err.Error(), "\n", "; "))
 	return exitCode(err)
 }
 
@@ -86,3 +84,7 @@
 	}
 	return failf(sched.ExitUsage, "%w (see parsleybarrow --help)", err)
 }
+
+// printf writes to standard output. A failed write means that the reader is
+// gone, which no command has to report.
+func (p *Program) printf(format string, args ...any) { _, _ = fmt.Fprintf(p.Stdout, format, args...) }
--- a/internal/process/cli/folder.go
+++ b/internal/process/cli/folder.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	for _, o := range doc.Origins() {
-		fmt.Fprintf(p.Stdout, "%s = %s  # %s:%d\n", o.Field, o.Value, o.File, o.Line)
+		p.printf("%s = %s  # %s:%d\n", o.Field, o.Value, o.File, o.Line)
 	}
 	return nil
 }
@@ -101,7 +101,7 @@
 		}
 		return failf(code, "%s", text)
 	}
-	fmt.Fprintf(p.Stdout, "%s: version %d\n", r.Outcome, r.Version)
+	p.printf("%s: version %d\n", r.Outcome, r.Version)
 	if !x.Wait || x.DryRun {
 		return nil
 	}
@@ -113,7 +113,7 @@
 		return reports(c, x.Admin)
 	})
 	for _, r := range late {
-		fmt.Fprintf(p.Stdout, "late: %s has version %d\n", r.Instance, r.Version)
+		p.printf("late: %s has version %d\n", r.Instance, r.Version)
 	}
 	if err != nil {
 		return fail(sched.ExitIncomplete, err)
@@ -121,7 +121,7 @@
 	if len(late) > 0 {
 		return failf(sched.ExitIncomplete, "%d instances have not reported version %d", len(late), v)
 	}
-	fmt.Fprintf(p.Stdout, "in force at every live instance\n")
+	p.printf("in force at every live instance\n")
 	return nil
 }
 
@@ -149,7 +149,7 @@
 
 func printChanges(p *Program, prefix string, changes []config.Change) {
 	for _, ch := range changes {
-		fmt.Fprintf(p.Stdout, "%s%s: %s -> %s\n", prefix, ch.Field, orNone(ch.Old), orNone(ch.New))
+		p.printf("%s%s: %s -> %s\n", prefix, ch.Field, orNone(ch.Old), orNone(ch.New))
 	}
 }
 
--- a/internal/process/cli/serve.go
+++ b/internal/process/cli/serve.go
@@ -63,12 +63,12 @@
 	if x.Seed == 0 {
 		x.Seed = int(start.UnixNano())
 	}
-	platform := newPlatform(x.LogURL, x.ListURL)
+	outside := newPlatform(x.LogURL, x.ListURL)
 	d := &daemon.Daemon{
 		ID: sched.InstanceID(x.ID), Incarnation: sched.Incarnation(x.Incarnation),
 		Region: sched.Region(x.Region), DataCentre: sched.DataCentre(x.DataCentre),
 		Advertise: string(x.Advertise),
-		Log:       platform.log, List: platform.list, Workers: platform.workers, PeerCall: platform.peers,
+		Log:       outside.log, List: outside.list, Workers: outside.workers, PeerCall: outside.peers,
 		Clock: clock.System{}, Logger: logger(p), Seed: uint64(x.Seed), Shards: x.Shards, DrainDelay: x.DrainDelay,
 		LogRetention: x.LogRetention, EventsKept: x.EventsKept, MaxBody: int64(x.MaxBody),
 	}
--- a/internal/process/daemon/setup.go
+++ b/internal/process/daemon/setup.go
@@ -139,10 +139,22 @@
 func (d *Daemon) loops() []func(context.Context) {
 	out := []func(context.Context){
 		d.tickLoop, d.listLoop, d.beatLoop, d.usageLoop, d.snapshotLoop,
-		func(c context.Context) { _ = d.claims.Run(c) },
+		d.claimLoop,
 	}
 	for _, f := range d.feeds() {
 		out = append(out, func(c context.Context) { d.follow(c, f) })
 	}
 	return out
 }
+
+// claimLoop follows the intents once there is a configuration. Without one the
+// dedup window is 0, every intent counts as expired, and a replay would take
+// open ids for free ones.
+func (d *Daemon) claimLoop(c context.Context) {
+	for d.view.Load().settings == nil {
+		if d.Clock.Sleep(c, tickInterval) != nil {
+			return
+		}
+	}
+	_ = d.claims.Run(c)
+}
