--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -28,6 +28,7 @@
 	Cancel      cancelCmd      `cmd:"" help:"Cancel a batch task."`
 	Timeline    timelineCmd    `cmd:"" help:"Show the merged events of all instances."`
 	DeclareDead declareDeadCmd `cmd:"" help:"Assert that nothing runs any more on an instance or in a data centre."`
+	Demo        demoCmd        `cmd:"" help:"Run three entry instances against stand-ins in this process."`
 	Standin     standinCmd     `cmd:"" help:"Run stand-ins of the platform and of backend servers."`
 }
 
