--- /dev/null
+++ b/internal/process/daemon/daemon_test.go
@@ -0,0 +1,99 @@
+package daemon_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Guards against an instance that says it is ready, or serves, without a
+// configuration, and against one that never recovers from a log outage at its
+// start.
+func TestLogOutageAtStartIsNotReadyWithReason(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	r.log.SetFaults(logsvc.Faults{Outage: true})
+	a := r.start("a", 1)
+	r.until("log lost", func() bool { _, s := a.admin("/events"); return strings.Contains(s, "logLost") })
+	status, reason := a.admin("/readyz")
+	i.Equal(status, 503)
+	i.True(strings.Contains(reason, "no configuration in force"))
+	status, header, _ := a.call(newID(), false)
+	i.Equal(status, 503)
+	i.Equal(header.Get("Parsley-Outcome"), "refusedNotRun")
+	status = a.submit("t")
+	i.Equal(status, 503)
+	r.log.SetFaults(logsvc.Faults{})
+	r.ready(a)
+	status, _, body := a.call("one", false)
+	i.Equal(status, 200)
+	i.Equal(body, "run one")
+}
+
+// Guards against a request id that runs again when its repeat reaches another
+// instance, and against a task that is accepted without a record.
+func TestRequestsAndTasksOverTwoInstances(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	a, b := r.start("a", 1), r.start("b", 1)
+	r.claims(a)
+	r.claims(b)
+	id := newID()
+	status, _, body := a.call(id, true)
+	i.Equal(status, 200)
+	i.Equal(body, "run "+id)
+	// Until the outcome is on record the repeat is told that the id is open.
+	r.until("the kept answer", func() bool {
+		status, header, body := b.call(id, true)
+		i.True(status == 409 || status == 200 && header.Get("Parsley-Code") == "102" && body == "run "+id)
+		return status == 200
+	})
+	i.Equal(r.backend.runs[id], 1)
+	r.until("the task stream is read", func() bool { return a.submit("t1") == 202 })
+	r.until("task known", func() bool { s, _ := get("http://" + b.Callers.Addr().String() + "/tasks/t1"); return s == 200 })
+}
+
+// Guards against tasks that are accepted and never run, run twice, or run
+// under two planners, when the planner's instance dies and one with the same
+// id takes its place.
+func TestTasksRunOnceThroughKillAndReplacement(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	a, b := r.start("a", 1), r.start("b", 1)
+	r.ready(a)
+	r.ready(b)
+	r.until("the task stream is read", func() bool {
+		return a.submit("first") == 202 && b.submit("first") == 202
+	})
+	accepted := []string{"first"}
+	submit := func(x *instance, n int) {
+		for range n {
+			id := string(x.ID) + "-" + newID()
+			if x.submit(id) == 202 {
+				accepted = append(accepted, id)
+			}
+		}
+	}
+	submit(a, 3)
+	submit(b, 3)
+	r.until("a run", func() bool { return r.workers.Observer().Counts().Finished > 0 })
+	a.Kill()
+	a = r.start("a", 2)
+	submit(b, 3)
+	r.ready(a)
+	submit(a, 3)
+	i.True(len(accepted) >= 10) // the log was there all the time
+	r.until("all runs", func() bool { return r.workers.Observer().Counts().Finished >= len(accepted) })
+	c := r.workers.Observer().Counts()
+	i.Equal(c.DoubleRuns+c.DoubleFinishes+c.DoubleResumes+c.DuplicateStarts+c.Overcommitted, 0)
+	for _, id := range accepted {
+		i.Equal(r.workers.Observer().Finished(sched.TaskID(id)), 1)
+	}
+}
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -73,7 +73,6 @@
 func (p *Planner) termChanged() {
 	open := p.ledger.Terms()
 	newest := p.ledger.NewestTerm()
-	p.termSeen = max(p.termSeen, newest)
 	own := p.book.Term()
 	if own != 0 && newest != own {
 		p.lose("a newer term was read")
@@ -157,7 +156,10 @@
 		}
 		return place.NewIndex(p.random, score)
 	}
-	p.direct, p.ahead, p.reserve = finder(), finder(), finder()
+	p.direct, p.express, p.ahead, p.reserve = finder(), finder(), finder(), finder()
+	p.holds, p.heldTotal = nil, sched.Resources{}
+	p.held = map[sched.InstanceID]sched.Resources{}
+	p.urgentOn = map[sched.InstanceID]int{}
 	p.plans = map[sched.TaskID]decision{}
 	p.overlay = map[sched.InstanceID]overlay{}
 	p.teams = map[string]sched.Resources{}
