Send news only to peers that were heard moments ago

Cause: an instance outside is heard rarely. Its old heartbeat looked as if it couldn't read the log, so changes were sent to it for nothing.

Change: versn.News takes the peer's heartbeat and the time it was heard, and compares LogReached with SentAt of the same heartbeat.

Conclusion: go test ./pkg/versn -run TestFaults -rapid.checks=2000 passes.

--- a/internal/bench/fleet/sim.go
+++ b/internal/bench/fleet/sim.go
@@ -235,7 +235,7 @@
 	}
 	h := sched.Heartbeat{
 		From: sched.InstanceID(got.From), Incarnation: 1, DataCentre: sched.DataCentre(got.DataCentre), Region: sched.Region(got.Region),
-		Address: got.Address, State: sched.StateLive, Version: sched.Offset(got.Version), LogReached: time.Unix(0, got.LogReached),
+		Address: got.Address, State: sched.StateLive, Version: sched.Offset(got.Version), SentAt: time.Unix(0, got.SentAt), LogReached: time.Unix(0, got.LogReached),
 		Demand: demandFromWire(got.Demand), Config: codec.NewsFromWire(got.Config), Unheard: got.Unheard, Partial: got.Partial,
 	}
 	for _, a := range got.Areas {
@@ -257,9 +257,7 @@
 		SentAt: s.now.UnixNano(), Version: int64(v), TaskApplied: 1_000_000, TermSeen: 999_000, LogReached: from.logReached.UnixNano(),
 		Unheard: from.book.Unheard(s.now, to.self.ID, to.self.DataCentre), Partial: from.book.Partial(s.now),
 	}
-	if last.From != "" {
-		w.Config = codec.NewsToWire(from.replay.News(s.now, to.self.ID, last.Version, last.LogReached))
-	}
+	w.Config = codec.NewsToWire(from.replay.News(s.now, last.SentAt, last))
 	plain := proto.Size(w)
 	demand, areas := from.book.Report(s.now, to.self.ID, to.self.DataCentre)
 	w.Demand = demandToWire(demand)
--- a/pkg/versn/model_test.go
+++ b/pkg/versn/model_test.go
@@ -83,9 +83,8 @@
 	startedAt   int          // step of the newest start
 	incarnation sched.Incarnation
 	logReached  time.Time
-	// versions and reached are what the peers last reported.
-	versions map[sched.InstanceID]sched.Offset
-	reached  map[sched.InstanceID]time.Time
+	// heard holds the newest heartbeat of each peer.
+	heard map[sched.InstanceID]sched.Heartbeat
 }
 
 // spent is the number of bytes by what they were for.
@@ -128,7 +127,7 @@
 	n.incarnation++
 	n.seen = 0
 	n.logReached = time.Time{}
-	n.versions, n.reached = map[sched.InstanceID]sched.Offset{}, map[sched.InstanceID]time.Time{}
+	n.heard = map[sched.InstanceID]sched.Heartbeat{}
 	n.startedAt = len(n.bytes)
 	n.self = sched.Member{
 		ID: sched.InstanceID(fmt.Sprint("entry-", k)), Incarnation: n.incarnation, Role: sched.RoleEntry,
@@ -204,11 +203,11 @@
 			n.table.Missed(m.now, c.ID, c.Incarnation)
 			continue
 		}
-		ask := n.heartbeat()
-		ask.Config = n.replay.News(m.now, c.ID, n.versions[c.ID], n.reached[c.ID])
+		ask := n.heartbeat(m.now)
+		ask.Config = n.replay.News(m.now, n.heard[c.ID].SentAt, n.heard[c.ID])
 		m.hear(p, n, ask)
-		answer := p.heartbeat()
-		answer.Config = p.replay.News(m.now, n.self.ID, ask.Version, ask.LogReached)
+		answer := p.heartbeat(m.now)
+		answer.Config = p.replay.News(m.now, m.now, ask)
 		if m.links[k][n.index] { // the answer is lost
 			n.table.Missed(m.now, c.ID, c.Incarnation)
 			continue
@@ -217,11 +216,11 @@
 	}
 }
 
-func (n *modelNode) heartbeat() sched.Heartbeat {
+func (n *modelNode) heartbeat(now time.Time) sched.Heartbeat {
 	v, _ := n.replay.InForce()
 	return sched.Heartbeat{
 		From: n.self.ID, Incarnation: n.incarnation, DataCentre: n.self.DataCentre,
-		Address: n.self.Address, State: sched.StateLive, Version: v, LogReached: n.logReached,
+		Address: n.self.Address, State: sched.StateLive, Version: v, SentAt: now, LogReached: n.logReached,
 	}
 }
 
@@ -232,7 +231,7 @@
 	}
 	n.spend().beats += bytes
 	from.spend().beats += bytes
-	n.versions[h.From], n.reached[h.From] = h.Version, h.LogReached
+	n.heard[h.From] = h
 	n.table.Heartbeat(m.now, h)
 	n.replay.Heard(m.now, h.Version)
 	n.replay.TakeNews(h.Config)
--- a/pkg/versn/news.go
+++ b/pkg/versn/news.go
@@ -37,11 +37,14 @@
 	}
 }
 
-// News returns what brings a peer on that reports a version and the time of
-// its last read of the log. It is empty for peers that read the log
-// themselves, and for those whose version is too old or not known here.
-func (r *Replay) News(now time.Time, to sched.InstanceID, have sched.Offset, logReached time.Time) sched.ConfigNews {
-	if have >= r.force.number || now.Sub(logReached) <= logSilence {
+// News returns what brings a peer on whose newest heartbeat h was heard at a
+// time. It is empty for peers that read the log themselves, for those whose
+// version is too old or not known here, and for heartbeats that are old: what
+// they say of the log says nothing of now.
+func (r *Replay) News(now, heardAt time.Time, h sched.Heartbeat) sched.ConfigNews {
+	to, have := h.From, h.Version
+	reads := h.SentAt.Sub(h.LogReached) <= logSilence
+	if have >= r.force.number || reads || now.Sub(heardAt) > logSilence {
 		return sched.ConfigNews{}
 	}
 	// After an outage of the log every instance reads it at the same time;
