--- a/internal/bench/fleet/partition_test.go
+++ b/internal/bench/fleet/partition_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/bench/fleet"
 	"github.com/parsleybarrow/parsleybarrow/pkg/config"
+	leases "github.com/parsleybarrow/parsleybarrow/pkg/lease"
 	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -35,6 +37,8 @@
 	noLog func(m sched.Member) bool
 	// reached tells whether the instance still learns new versions.
 	reached func(m sched.Member) bool
+	// renews tells whether entry-000, as a planner, goes on to renew leases.
+	renews bool
 	// planners is the number of instances that plan for centre-0.
 	planners int
 }
@@ -55,14 +59,14 @@
 		}
 	}
 	return []partition{
-		{name: "platform", noLog: away, reached: all, planners: 1},
-		{name: "other region", cut: between(away, "centre-2"), reached: all, planners: 1},
-		{name: "other data centre of the region", cut: between(away, "centre-1"), reached: all, planners: 1},
-		{name: "one way", cut: func(from, to sched.Member) bool { return away(from) && !away(to) }, reached: all, planners: 1},
+		{name: "platform", noLog: away, reached: all, planners: 1, renews: true},
+		{name: "other region", cut: between(away, "centre-2"), reached: all, planners: 1, renews: true},
+		{name: "other data centre of the region", cut: between(away, "centre-1"), reached: all, planners: 1, renews: true},
+		{name: "one way", cut: func(from, to sched.Member) bool { return away(from) && !away(to) }, reached: all, planners: 1, renews: true},
 		{
 			name: "platform and everyone outside", noLog: away,
 			cut:     func(from, to sched.Member) bool { return away(from) != away(to) },
-			reached: func(m sched.Member) bool { return !away(m) }, planners: 1,
+			reached: func(m sched.Member) bool { return !away(m) }, planners: 1, renews: true,
 		},
 		{
 			name: "one instance from all", noLog: alone,
@@ -196,3 +200,37 @@
 		})
 	}
 }
+
+// Guards against a data centre whose tasks stop since it is cut off, and
+// against an instance that renews leases although the others may have taken
+// its tasks for dead.
+func TestLeasesInPartitions(t *testing.T) {
+	const lease, isolation = 15 * time.Second, time.Minute
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	self := sched.Member{ID: "entry-000", DataCentre: "centre-0"}
+	peer := sched.Member{ID: "entry-003", DataCentre: "centre-0"}
+	for _, p := range partitions() {
+		b := leases.New(leases.Limits{Lease: lease, ClockBound: time.Second, Isolation: isolation})
+		b.LogRead(now)
+		b.Begin(1, nil, now)
+		contact := leases.Contact{List: now, Peer: now}
+		for k := range 150 {
+			at := now.Add(time.Duration(k) * time.Second)
+			if p.noLog != nil && p.noLog(self) {
+				b.LogFailed(at)
+			} else {
+				b.LogRead(at)
+				contact.List = at
+			}
+			if p.cut == nil || !p.cut(peer, self) {
+				contact.Peer = at
+			}
+			b.Reached(contact, at)
+			_, renews := b.NotAfter(at)
+			if within := at.Sub(now) < isolation; renews != (within || p.renews) {
+				t.Errorf("%s: renews leases is %t after %s", p.name, renews, at.Sub(now))
+				break
+			}
+		}
+	}
+}
--- a/internal/process/cli/platform.go
+++ b/internal/process/cli/platform.go
@@ -1,10 +1,6 @@
 package cli
 
 import (
-	"net"
-	"net/http"
-	"time"
-
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/plat"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -24,22 +20,5 @@
 // reached at their address on the list, else where the list is.
 func newPlatform(log, list platformURL) platform {
 	l := plat.New(string(list))
-	return platform{log: platformLog(log), list: l, workers: l, peers: &peer.Client{HTTP: peerHTTP()}}
-}
-
-const (
-	dialTime = 500 * time.Millisecond
-	// idlePeers keeps a connection to every peer of the target scale.
-	idlePeers = 200
-	idleTime  = time.Minute
-)
-
-// peerHTTP returns the client for calls between instances.
-func peerHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
-		MaxIdleConns:        idlePeers,
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     idleTime,
-	}}
+	return platform{log: platformLog(log), list: l, workers: l, peers: &peer.Client{HTTP: peer.HTTPClient()}}
 }
--- a/internal/process/daemon/beat.go
+++ b/internal/process/daemon/beat.go
@@ -54,11 +54,14 @@
 		h  sched.Heartbeat
 	}
 	var calls []call
-	_ = d.ask(c, func(k *control) {
+	err := d.ask(c, func(k *control) {
 		for _, m := range choose(k) {
 			calls = append(calls, call{m, k.heartbeat(m.ID, m.DataCentre)})
 		}
 	})
+	if err != nil {
+		return // the actor may still be about to fill in the calls
+	}
 	for _, x := range calls {
 		go func() { d.exchange(c, x.to, x.h) }()
 	}
@@ -106,6 +109,9 @@
 		h.State = sched.StateLeaving
 	}
 	h.Demand, h.Areas = c.quota.Report(now, to, d)
+	h.Unheard, h.Partial = c.quota.Unheard(now, to, d), c.quota.Partial(now)
+	b := c.beats[to]
+	h.Config = c.versions.News(now, b.at, b.h)
 	return h
 }
 
@@ -115,17 +121,39 @@
 		return // the peer has stopped
 	}
 	c.reported[h.From] = h.Version
+	c.keepBeat(now, h)
 	c.d.stamps.Observe(sched.Stamp{Wall: h.SentAt.UnixNano()})
 	c.table.Heartbeat(now, h)
 	c.quota.Hear(now, h)
 	c.usage.Observe(h.From, h.Incarnation, h.Totals)
 	c.versions.Heard(now, h.Version)
+	if c.versions.TakeNews(h.Config) {
+		c.configured(now)
+	}
 	c.peerHeard(now, h)
 	if c.versions.WantCopy(now, h.Version) && h.Address != "" {
 		c.d.spawn(func(x context.Context) { c.d.fetchConfig(x, h.Address) })
 	}
 }
 
+// beat is a heartbeat and the time it was heard.
+type beat struct {
+	at time.Time
+	h  sched.Heartbeat
+}
+
+// maxBeats bounds the heartbeats that are kept, above the target scale.
+const maxBeats = 1000
+
+// keepBeat keeps what the next heartbeat to the peer answers to.
+func (c *control) keepBeat(now time.Time, h sched.Heartbeat) {
+	if len(c.beats) >= maxBeats {
+		clear(c.beats) // ids of instances that are long gone
+	}
+	h.Demand, h.Areas, h.Totals, h.Config = nil, nil, nil, sched.ConfigNews{}
+	c.beats[h.From] = beat{now, h}
+}
+
 // fetchConfig takes the configuration in force over from a peer.
 func (d *Daemon) fetchConfig(c context.Context, address string) {
 	x, cancel := context.WithTimeout(c, listTime)
@@ -165,10 +193,23 @@
 	}
 }
 
-// Config implements peer.Local.
+// Config implements peer.Local. It is refused when several peers ask within
+// the pause that bounds the bytes for copies.
 func (l local) Config() (sched.ConfigCopy, bool) {
-	copied := l.d.view.Load().copied
-	return copied, copied.Version > 0
+	x, cancel := context.WithTimeout(context.Background(), beatTime)
+	defer cancel()
+	copies := make(chan sched.ConfigCopy, 1)
+	_ = l.d.ask(x, func(c *control) {
+		if c.versions.ServeCopy(c.d.Clock.Now()) {
+			copies <- c.versions.Copy()
+		}
+	})
+	select {
+	case copied := <-copies:
+		return copied, true
+	default:
+		return sched.ConfigCopy{}, false
+	}
 }
 
 // Events implements peer.Local.
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -39,13 +39,15 @@
 	rules    *rules.Rules
 	// reported holds the version that each peer last reported.
 	reported map[sched.InstanceID]sched.Offset
-	leaving  bool
-	logAt    time.Time
-	logUp    bool
-	listUp   bool
-	sampled  time.Time
-	usageAt  sched.Offset
-	states   map[sched.InstanceID]sched.State
+	// beats holds the newest heartbeat of each peer.
+	beats   map[sched.InstanceID]beat
+	leaving bool
+	logAt   time.Time
+	logUp   bool
+	listUp  bool
+	sampled time.Time
+	usageAt sched.Offset
+	states  map[sched.InstanceID]sched.State
 }
 
 // message is what the actor receives.
@@ -109,6 +111,7 @@
 		usage:    &usage.Book{},
 		states:   map[sched.InstanceID]sched.State{},
 		reported: map[sched.InstanceID]sched.Offset{},
+		beats:    map[sched.InstanceID]beat{},
 		logUp:    true,
 		listUp:   true,
 		plan: planning{
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/conn/pool"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/claims"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/gate"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/event"
 	"github.com/parsleybarrow/parsleybarrow/pkg/quota"
@@ -157,6 +158,7 @@
 		{"peers", d.Peers, httpServer(d.peerHandler(), adminTime)},
 		{"admin", d.Admin, httpServer(d.adminHandler(), adminTime)},
 	}
+	parts[1].server.Protocols = peer.Protocols()
 	var servers []*http.Server
 	for _, p := range parts {
 		servers = append(servers, p.server)
--- a/internal/process/daemon/drain.go
+++ b/internal/process/daemon/drain.go
@@ -73,11 +73,14 @@
 func (d *Daemon) beatAndWait(c context.Context) {
 	var to []sched.Member
 	var beats []sched.Heartbeat
-	_ = d.ask(c, func(k *control) {
+	err := d.ask(c, func(k *control) {
 		for _, m := range allPeers(k) {
 			to, beats = append(to, m), append(beats, k.heartbeat(m.ID, m.DataCentre))
 		}
 	})
+	if err != nil {
+		return // the actor may still be about to fill in the heartbeats
+	}
 	done := make(chan struct{}, len(to))
 	for n := range to {
 		go func() {
--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -266,7 +266,7 @@
 	d.post(planned{plan.Leaving{}})
 	for c.Err() == nil {
 		open := false
-		_ = d.ask(c, func(k *control) {
+		err := d.ask(c, func(k *control) {
 			if k.plan.planner == nil {
 				return
 			}
@@ -274,7 +274,7 @@
 				open = open || t.Instance == d.ID && t.Incarnation == d.Incarnation
 			}
 		})
-		if !open || d.Clock.Sleep(c, tickInterval) != nil {
+		if err != nil || !open || d.Clock.Sleep(c, tickInterval) != nil {
 			return
 		}
 	}
--- a/internal/process/daemon/snapshot.go
+++ b/internal/process/daemon/snapshot.go
@@ -18,7 +18,7 @@
 func (d *Daemon) snapshotLoop(c context.Context) {
 	for d.Clock.Sleep(c, snapshotInterval) == nil {
 		var s *versn.Snapshot
-		_ = d.ask(c, func(k *control) {
+		err := d.ask(c, func(k *control) {
 			now := d.Clock.Now()
 			owner, ok := rendez.SnapshotWriter(sched.ConfigStream).Owner(k.table.View().AllCandidates())
 			if k.versions.SnapshotDue(now, ok && owner == d.ID) {
@@ -26,7 +26,7 @@
 				s = &made
 			}
 		})
-		if s == nil {
+		if err != nil || s == nil {
 			continue
 		}
 		if data, err := codec.EncodeConfig(versn.Entry{Snapshot: s}); err == nil {
--- a/internal/process/peer/convert.go
+++ b/internal/process/peer/convert.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -20,6 +21,9 @@
 		TaskApplied: int64(h.TaskApplied),
 		TermSeen:    int64(h.TermSeen),
 		LogReached:  nanos(h.LogReached),
+		Unheard:     h.Unheard,
+		Partial:     h.Partial,
+		Config:      codec.NewsToWire(h.Config),
 	}
 	w.Demand = demandToWire(h.Demand)
 	for _, a := range h.Areas {
@@ -27,6 +31,7 @@
 			DataCentre: string(a.DataCentre),
 			Instances:  int32(a.Instances),
 			AsOf:       nanos(a.AsOf),
+			Partial:    a.Partial,
 			Demand:     demandToWire(a.Demand),
 		})
 	}
@@ -49,6 +54,9 @@
 		TaskApplied: sched.Offset(w.GetTaskApplied()),
 		TermSeen:    sched.Offset(w.GetTermSeen()),
 		LogReached:  fromNanos(w.GetLogReached()),
+		Unheard:     w.GetUnheard(),
+		Partial:     w.GetPartial(),
+		Config:      codec.NewsFromWire(w.GetConfig()),
 	}
 	h.Demand = demandFromWire(w.GetDemand())
 	for _, a := range w.GetAreas() {
@@ -56,6 +64,7 @@
 			DataCentre: sched.DataCentre(a.GetDataCentre()),
 			Instances:  int(a.GetInstances()),
 			AsOf:       fromNanos(a.GetAsOf()),
+			Partial:    a.GetPartial(),
 			Demand:     demandFromWire(a.GetDemand()),
 		})
 	}
