--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -29,6 +29,7 @@
 	Timeline    timelineCmd    `cmd:"" help:"Show the merged events of all instances."`
 	DeclareDead declareDeadCmd `cmd:"" help:"Assert that nothing runs any more on an instance or in a data centre."`
 	Demo        demoCmd        `cmd:"" help:"Run three entry instances against stand-ins in this process."`
+	Soak        soakCmd        `cmd:"" help:"Drive load against running instances; scripts/soak starts them."`
 	Standin     standinCmd     `cmd:"" help:"Run stand-ins of the platform and of backend servers."`
 }
 
--- a/internal/process/cli/folder.go
+++ b/internal/process/cli/folder.go
@@ -25,7 +25,7 @@
 
 // Run implements the command.
 func (x *checkCmd) Run(p *Program) error {
-	doc, err := load(x.Dir)
+	doc, err := loadFolder(x.Dir)
 	if err != nil {
 		return err
 	}
@@ -35,8 +35,8 @@
 	return nil
 }
 
-// load reads and checks a folder.
-func load(dir string) (config.Document, error) {
+// loadFolder reads and checks a folder.
+func loadFolder(dir string) (config.Document, error) {
 	info, err := os.Stat(dir)
 	if err != nil || !info.IsDir() {
 		return config.Document{}, failf(sched.ExitNoSuchFile, "%s is no folder that can be read", dir)
@@ -77,7 +77,7 @@
 
 // Run implements the command.
 func (x *applyCmd) Run(c context.Context, p *Program) error {
-	doc, err := load(x.Dir)
+	doc, err := loadFolder(x.Dir)
 	if err != nil {
 		return err
 	}
