--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -90,3 +90,13 @@
 // printf writes to standard output. A failed write means that the reader is
 // gone, which no command has to report.
 func (p *Program) printf(format string, args ...any) { _, _ = fmt.Fprintf(p.Stdout, format, args...) }
+
+// Parse parses the arguments without running the command.
+func (p *Program) Parse(args []string) error {
+	parser, err := kong.New(&commands{}, append(mappers(), kong.Name("parsleybarrow"), kong.DefaultEnvars("PARSLEY"))...)
+	if err != nil {
+		return fmt.Errorf("build command line: %w", err)
+	}
+	_, err = parser.Parse(args)
+	return err
+}
--- a/internal/process/cli/serve.go
+++ b/internal/process/cli/serve.go
@@ -37,6 +37,8 @@
 	Shards       int           `default:"4" min:"1" max:"64" help:"Number of intent streams; the same at all instances."`
 	DrainDelay   time.Duration `default:"2s" min:"0s" max:"5m" help:"Time from the announcement that the instance leaves to the end of taking requests."`
 	LogRetention time.Duration `default:"24h" min:"1h" max:"8760h" help:"Time for which the platform's log keeps a record."`
+	Silence      time.Duration `default:"3s" min:"100ms" max:"1m" help:"Silence after which a peer counts as unreachable."`
+	Hysteresis   time.Duration `default:"5s" min:"100ms" max:"5m" help:"Time for which a peer must be silent, or heard again, before responsibilities move."`
 	EventsKept   int           `default:"10000" min:"100" max:"1000000" help:"Events kept for the time line."`
 	MaxBody      int           `default:"8388608" min:"1024" max:"67108864" help:"Largest body of a request in bytes."`
 }
@@ -70,7 +72,7 @@
 		Advertise: string(x.Advertise),
 		Log:       outside.log, List: outside.list, Workers: outside.workers, PeerCall: outside.peers,
 		Clock: clock.System{}, Logger: logger(p), Seed: uint64(x.Seed), Shards: x.Shards, DrainDelay: x.DrainDelay,
-		LogRetention: x.LogRetention, EventsKept: x.EventsKept, MaxBody: int64(x.MaxBody),
+		Silence: x.Silence, Hysteresis: x.Hysteresis, LogRetention: x.LogRetention, EventsKept: x.EventsKept, MaxBody: int64(x.MaxBody),
 	}
 	parts := []struct {
 		use     string
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -67,13 +68,17 @@
 	m.apply(c)
 }
 
-// ask runs f in the actor.
+// ask runs f in the actor, unless its caller has stopped to wait before.
 type ask struct {
-	f    func(*control)
-	done chan struct{}
+	f     func(*control)
+	done  chan struct{}
+	taken *atomic.Bool
 }
 
 func (a ask) apply(c *control) {
+	if !a.taken.CompareAndSwap(false, true) {
+		return
+	}
 	defer close(a.done)
 	a.f(c)
 }
@@ -84,16 +89,23 @@
 // ask runs f in the control actor and waits until it has run. It must not be
 // used by the request path.
 func (d *Daemon) ask(c context.Context, f func(*control)) error {
-	a := ask{f: f, done: make(chan struct{})}
+	a := ask{f: f, done: make(chan struct{}), taken: &atomic.Bool{}}
 	d.post(a)
+	var err error
 	select {
 	case <-a.done:
 		return nil
 	case <-c.Done():
-		return c.Err()
+		err = c.Err()
 	case <-d.killed:
-		return errStopped
+		err = errStopped
+	}
+	if a.taken.CompareAndSwap(false, true) {
+		return err
 	}
+	// f runs at this moment and writes to what its caller reads.
+	<-a.done
+	return nil
 }
 
 // post sends a message to the control actor without waiting.
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -97,3 +97,20 @@
 		i.Equal(r.workers.Observer().Finished(sched.TaskID(id)), 1)
 	}
 }
+
+// Guards against a time line from which an operator can't tell what became of
+// a task, or that shows a step once per instance.
+func TestTimelineShowsEachStepOfATaskOnce(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	a, b := r.start("a", 1), r.start("b", 1)
+	r.ready(a)
+	r.ready(b)
+	r.until("submitted", func() bool { return b.submit("t1") == 202 })
+	r.until("ended", func() bool { _, s := a.admin("/timeline?task=t1"); return strings.Contains(s, "taskEnded") })
+	_, s := b.admin("/timeline?task=t1")
+	for _, kind := range []string{"accepted", "placed", "taskEnded"} {
+		i.Equal(strings.Count(s, `"kind":"`+kind+`"`), 1)
+	}
+}
--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -187,6 +187,7 @@
 	switch {
 	case m.err == nil:
 		c.d.meters.records.Add(len(m.page.Records))
+		c.d.taskEvents(m.page.Records)
 		c.step(now, plan.RecordsRead{Began: m.began, Page: m.page})
 	case errors.As(m.err, &trimmed):
 		c.step(now, plan.Trimmed{Earliest: trimmed.Earliest})
--- a/internal/process/daemon/tasks.go
+++ b/internal/process/daemon/tasks.go
@@ -11,7 +11,6 @@
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/admin"
 	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
-	"github.com/parsleybarrow/parsleybarrow/pkg/event"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -170,9 +169,6 @@
 	id := sched.TaskID(r.PathValue("id"))
 	a := admin.TaskAnswer{Task: string(id)}
 	err := d.request(c, func(n uint64) plan.Input { return plan.CancelRequested{Ticket: n, Task: id} })
-	if err == nil {
-		d.events.Add(sched.Event{Kind: event.KindTaskCancelled, Task: id})
-	}
 	d.answerTask(w, codeOf(err, sched.CodeAccepted), err, a)
 }
 
