Give the planner the interference model and the judge of failing workers

Cause: the daemon ran the planner without pkg/coloc and pkg/suspct. Change: both are passed in the planner's options.

--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -5,10 +5,12 @@
 	"errors"
 	"time"
 
+	"github.com/parsleybarrow/parsleybarrow/pkg/coloc"
 	"github.com/parsleybarrow/parsleybarrow/pkg/lease"
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/suspct"
 )
 
 // planning is the part of the control state that belongs to tasks.
@@ -40,9 +42,26 @@
 	}
 	c.plan.planner = plan.New(plan.Options{
 		Instance: c.d.ID, Incarnation: c.d.Incarnation, Seed: c.d.Seed, Settings: c.settings,
+		Interference: coloc.New(coloc.Options{Goal: c.latencyGoal, KindOf: c.kindOf}),
+		Suspects:     suspct.New(),
 	})
 }
 
+// latencyGoal is the goal of a service in the configuration in force, 0 for an
+// unknown one.
+func (c *control) latencyGoal(service string) time.Duration {
+	s, _ := c.rules.Service(service)
+	return s.LatencyGoal
+}
+
+// kindOf is the kind of a task in the replayed state.
+func (c *control) kindOf(id sched.TaskID) string {
+	if t, known := c.plan.planner.Ledger().Task(id); known {
+		return t.Task.Kind
+	}
+	return ""
+}
+
 // step gives the planner an input. Without a configuration nothing is planned.
 func (c *control) step(now time.Time, in plan.Input) {
 	if c.plan.planner != nil {
