--- a/internal/process/demo/demo.go
+++ b/internal/process/demo/demo.go
@@ -88,7 +88,7 @@
 	s.ListLag = time.Second
 	s.Kinds = []worker.KindTruth{
 		{Kind: "sweep", Median: 200 * time.Millisecond, Sigma: 0.3},
-		{Kind: "roomModel", Median: 800 * time.Millisecond, Sigma: 0.3},
+		{Kind: "roomModel", Median: 2 * time.Second, Sigma: 0.3},
 	}
 	return s
 }
@@ -109,7 +109,7 @@
 	l := &load.Load{
 		HTTP: d.http, Seed: d.Seed, Service: "simdesk", Partner: "tunog", Team: "crossover",
 		Kinds: []string{"sweep", "sweep", "roomModel"}, Callers: d.callers,
-		Requests: 120, Unrepeatable: 20, Tasks: 6,
+		Requests: 120, Unrepeatable: 20, Tasks: 12,
 	}
 	c, cancel := context.WithTimeout(c, d.Duration)
 	defer cancel()
