--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -20,7 +20,6 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/member"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/quota"
-	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/usage"
 	"github.com/parsleybarrow/parsleybarrow/pkg/versn"
@@ -125,6 +124,7 @@
 		listUp:   true,
 		plan: planning{
 			ledger: ledger.New(), tickets: map[uint64]chan plan.Reply{}, peers: map[sched.InstanceID]plan.PeerTerm{},
+			startedAt: now,
 		},
 	}
 	// The actor system logs its own start and stop, which are no changes of
@@ -139,11 +139,6 @@
 	d.system.Shutdown()
 }
 
-// planner is the instance that should plan for a data centre.
-func planner(v *member.View, d sched.DataCentre) (sched.InstanceID, bool) {
-	return rendez.Planner(d).Owner(v.Candidates(d))
-}
-
 // publish makes a new view for the traffic goroutines.
 func (c *control) publish(now time.Time) {
 	old := c.d.view.Load()
@@ -160,7 +155,7 @@
 		logUp:    c.logUp,
 		listUp:   c.listUp,
 	}
-	v.planner, _ = planner(v.members, c.d.DataCentre)
+	v.planner = c.planner(v.members)
 	v.ready, v.reason = c.readiness(now)
 	v.queued, v.placed = c.plan.queued, c.plan.placed
 	c.d.view.Store(v)
--- a/internal/process/daemon/failure_test.go
+++ b/internal/process/daemon/failure_test.go
@@ -1,7 +1,9 @@
 package daemon_test
 
 import (
+	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -188,3 +190,29 @@
 	c.call(newID(), false)
 	r.until("all are counted once", func() bool { return requests(c) == 6 })
 }
+
+// Guards against a fresh instance that begins a term before it can know its
+// peers: nine instances that started at once interrupted each other's terms
+// until leases lapsed.
+func TestUnlistedInstanceWaitsForTheListBeforeItPlans(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(strings.Replace(rigConfig, "listLag: 0s", "listLag: 1h", 1))
+	r.list.SetLag(time.Hour)
+	a := r.start("a", 1, func(d *daemon.Daemon) { d.List = hidden{r.list} })
+	r.ready(a)
+	r.until("accepted", func() bool { return a.submit("t1") == 202 })
+	i.Equal(a.status().Planner, "")
+	i.Equal(a.status().Term, int64(0))
+	b := r.start("b", 1)
+	r.until("the listed one plans", func() bool { return r.workers.Observer().Counts().Finished == 1 })
+	i.True(b.status().Term > 0)
+}
+
+// hidden is a list that does not show the instance a yet.
+type hidden struct{ sched.Roster }
+
+func (h hidden) Members(c context.Context) ([]sched.Member, error) {
+	all, err := h.Roster.Members(c)
+	return slices.DeleteFunc(all, func(m sched.Member) bool { return m.ID == "a" }), err
+}
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -16,6 +17,8 @@
 	idleTime = 2 * time.Minute
 	// maxHeader bounds a request's header in bytes.
 	maxHeader = 64 << 10
+	// bodyTime bounds the time in which a caller sends a body.
+	bodyTime = 30 * time.Second
 	// adminTime bounds one request of the admin surface and of peers.
 	adminTime = 10 * time.Second
 	// maxAdminBody bounds the body of an admin request in bytes.
@@ -86,3 +89,33 @@
 	}
 	return err
 }
+
+// limitBodyTime bounds the time in which a caller sends the body. The server's
+// own read limit would go on after the body and end requests that run for
+// long.
+func limitBodyTime(limit time.Duration, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			c := http.NewResponseController(w)
+			if c.SetReadDeadline(time.Now().Add(limit)) == nil {
+				r.Body = &timedBody{r.Body, c}
+			}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// timedBody lifts the deadline once the whole body has arrived.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -8,7 +8,9 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/coloc"
 	"github.com/parsleybarrow/parsleybarrow/pkg/lease"
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
+	"github.com/parsleybarrow/parsleybarrow/pkg/member"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/suspct"
 )
@@ -23,8 +25,12 @@
 	peers   map[sched.InstanceID]plan.PeerTerm
 	contact lease.Contact
 	absence absence
-	queued  int
-	placed  int
+	// startedAt and listed tell whether the list is recent enough to know who else
+	// could be responsible.
+	startedAt time.Time
+	listed    bool
+	queued    int
+	placed    int
 }
 
 const (
@@ -82,8 +88,8 @@
 
 func (c *control) membersSeen() plan.MembersSeen {
 	v := c.table.View()
-	owner, ok := planner(v, c.d.DataCentre)
-	m := plan.MembersSeen{Responsible: ok && owner == c.d.ID && !c.leaving, Contact: c.plan.contact}
+	owner := c.planner(v)
+	m := plan.MembersSeen{Responsible: owner == c.d.ID && !c.leaving, Contact: c.plan.contact}
 	for _, w := range v.Members(c.d.DataCentre, sched.RoleWorker, "") {
 		if w.State != sched.StateGone {
 			m.Workers = append(m.Workers, w)
@@ -106,6 +112,22 @@
 	return m
 }
 
+// planner is the instance that should plan for the own data centre, empty if
+// that is not known. A fresh instance that the list does not show yet may not
+// know its peers either, and would begin a term that interrupts theirs (a soak
+// showed 59 lapsed attempts after nine instances had started at once); it waits
+// for the list, at most for its lag.
+func (c *control) planner(v *member.View) sched.InstanceID {
+	owner, _ := rendez.Planner(c.d.DataCentre).Owner(v.Candidates(c.d.DataCentre))
+	if owner != c.d.ID || c.plan.listed || c.settings == nil {
+		return owner
+	}
+	if c.d.Clock.Now().Sub(c.plan.startedAt) < c.settings.Limits.ListLag {
+		return ""
+	}
+	return owner
+}
+
 // listRead notes a successful read of the platform's list.
 func (c *control) listRead(now time.Time, members []sched.Member) {
 	alone := true
@@ -115,6 +137,7 @@
 			continue
 		}
 		listed[m.ID] = true
+		c.plan.listed = c.plan.listed || m.ID == c.d.ID && m.Incarnation >= c.d.Incarnation
 		alone = alone && (m.DataCentre != c.d.DataCentre || m.ID == c.d.ID)
 	}
 	c.plan.contact.List, c.plan.contact.Alone = now, alone
--- a/internal/process/daemon/tasks.go
+++ b/internal/process/daemon/tasks.go
@@ -31,7 +31,7 @@
 	m.Handle("POST /tasks", limitBody(maxTaskBody, http.HandlerFunc(d.serveSubmit)))
 	m.HandleFunc("GET /tasks/{id}", d.serveTask)
 	m.HandleFunc("DELETE /tasks/{id}", d.serveCancel)
-	return m
+	return limitBodyTime(bodyTime, m)
 }
 
 // refusal is a result code with the reason.
