--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -111,9 +112,7 @@
 			is := is.New(t)
 			r := newRig(t, 2)
 			r.set(c.handlers...)
-			r.log.mu.Lock()
-			r.log.down = c.logDown
-			r.log.mu.Unlock()
+			r.log.SetFaults(logsvc.Faults{Outage: c.logDown})
 			headers := append([]string{sched.HeaderRequestID, newID(), sched.HeaderDeadline, "5000"}, c.headers...)
 			a, _, err := r.call(t, "abc", headers...)
 			is.NoErr(err)
--- a/internal/request/proxy/rig_test.go
+++ b/internal/request/proxy/rig_test.go
@@ -15,55 +15,13 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/claims"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/gate"
 	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
 	"github.com/parsleybarrow/parsleybarrow/pkg/admit"
+	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
 	"github.com/parsleybarrow/parsleybarrow/pkg/route"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
-type realClock struct{}
-
-func (realClock) Now() time.Time { return time.Now() }
-
-func (realClock) Sleep(c context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-c.Done():
-		return c.Err()
-	}
-}
-
-// memoryLog is a log that can be switched off.
-type memoryLog struct {
-	mu      sync.Mutex
-	streams map[string][][]byte
-	down    bool
-}
-
-func (l *memoryLog) Append(_ context.Context, stream string, data []byte) (sched.Offset, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down {
-		return 0, sched.ErrUnavailable
-	}
-	if l.streams == nil {
-		l.streams = map[string][][]byte{}
-	}
-	l.streams[stream] = append(l.streams[stream], data)
-	return sched.Offset(len(l.streams[stream])), nil
-}
-
-func (l *memoryLog) Read(_ context.Context, stream string, from sched.Offset, limit int) (sched.Page, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.streams[stream]
-	p := sched.Page{Earliest: 1, Next: sched.Offset(len(s) + 1)}
-	for n := int(from); n <= len(s) && len(p.Records) < limit; n++ {
-		p.Records = append(p.Records, sched.Record{Offset: sched.Offset(n), Data: s[n-1]})
-	}
-	return p, nil
-}
-
 // backend counts runs per id and can be told how to answer.
 type backend struct {
 	mu     sync.Mutex
@@ -99,13 +57,13 @@
 	backends []*backend
 	members  []sched.Member
 	router   *route.Router
-	log      *memoryLog
+	log      *logsvc.Service
 	keeper   *claims.Keeper
 }
 
 func newRig(t testing.TB, backends int) *rig {
 	t.Helper()
-	r := &rig{log: &memoryLog{}}
+	r := &rig{log: logsvc.New(clock.System{}, 1, logsvc.Retention{})}
 	for n := range backends {
 		b := &backend{runs: map[string]int{}}
 		s := httptest.NewServer(b)
@@ -132,24 +90,23 @@
 			UrgencyShares: [4]float64{0, 0.1, 0.3, 0.6},
 		},
 	}
-	clock := realClock{}
 	r.router = &route.Router{Region: "r", DataCentre: "d", Seed: 1}
 	r.router.Update(r.members, 1, 1<<20)
-	g := gate.New(clock, admit.SharesOf(settings), 1)
+	g := gate.New(clock.System{}, admit.SharesOf(settings), 1)
 	slots := float64(8 * len(r.members))
 	g.SetCapacity("echo", slots, slots)
 	k := &claims.Keeper{
-		Log: r.log, Clock: clock, Incarnation: 1,
+		Log: r.log, Clock: clock.System{}, Incarnation: 1,
 		Limits: func() claims.Limits { return claims.Limits{Window: time.Hour, ClockBound: time.Second, Instances: 1} },
 		Nonce:  rand.Uint64,
 	}
 	c, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = k.Run(c) }()
-	p := &pool.Pool{Clock: clock, AnswerBuffer: func() int64 { return 64 << 10 }}
+	p := &pool.Pool{Clock: clock.System{}, AnswerBuffer: func() int64 { return 64 << 10 }}
 	r.keeper = k
 	r.Proxy = &proxy.Proxy{
-		Clock: clock, Settings: func() *sched.Settings { return settings }, Admit: g, Route: r.router,
+		Clock: clock.System{}, Settings: func() *sched.Settings { return settings }, Admit: g, Route: r.router,
 		Sender: p, Claims: k, Seed: 1,
 	}
 	r.entry = httptest.NewServer(r.Proxy)
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -43,9 +43,11 @@
 // what the servers of the service reported lately; it takes the place of
 // knowledge that has aged.
 func (s *server) estimate(prior float64, now time.Time) float64 {
-	// A report follows the end of a request, so it shows one slot more than
-	// there is at other times.
-	prior = max(0, min(prior-1, float64(s.member.Slots-s.inFlight)))
+	// A report follows the end of a request and shows the slot that it left.
+	// That matters where slots are scarce; elsewhere the correction would keep
+	// servers without knowledge from being chosen at all.
+	prior -= 1 / max(prior, 1)
+	prior = max(0, min(prior, float64(s.member.Slots-s.inFlight)))
 	age := now.Sub(s.seen)
 	if s.seen.IsZero() || age >= knowledgeLife {
 		return prior
