--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -208,7 +208,7 @@
 			q.silence()
 		}
 	}
-	if !keep {
+	if !keep || k.silent.Load() {
 		s.drop(k)
 		return
 	}
--- a/internal/conn/pool/send.go
+++ b/internal/conn/pool/send.go
@@ -168,7 +168,7 @@
 // done returns the connection unless the context has ended meanwhile, in which
 // case its deadline may have been touched.
 func (e *exchange) done(keep bool) {
-	keep = e.release() && keep && e.k.reader.Buffered() == 0 && !e.k.silent.Load()
+	keep = e.release() && keep && e.k.reader.Buffered() == 0
 	e.k.server.finish(e.k, e.pool.Clock.Now(), keep)
 }
 
--- a/internal/request/proxy/count.go
+++ b/internal/request/proxy/count.go
@@ -35,6 +35,18 @@
 		c, _ = p.counters.LoadOrStore(k, m)
 	}
 	c.(*metrics.Counter).Inc()
+	if code == sched.CodeAnswered {
+		q.latency.Update(p.Clock.Now().Sub(q.started).Seconds())
+	}
+}
+
+// histogram returns the histogram of the time from the arrival of a request to
+// its answer, in seconds.
+func (p *Proxy) histogram(service string) *metrics.Histogram {
+	if p.Metrics == nil {
+		return &metrics.Histogram{}
+	}
+	return p.Metrics.GetOrCreateHistogram(fmt.Sprintf(`parsley_request_seconds{service=%q}`, service))
 }
 
 // Totals returns the number of answered requests by partner and service since
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -124,8 +124,8 @@
 	}
 	// A granted claim proves that no earlier send of the id ran or will run.
 	q.repeat = false
-	if c.Err() != nil {
-		p.Claims.Abandon(c, v.Claim)
+	if c.Err() != nil || p.Clock.Now().Add(leastSendTime).After(q.Deadline) {
+		p.abandon(c, v.Claim)
 		p.refuse(w, q, refusal{code: sched.CodeDeadlineTooShort})
 		return
 	}
@@ -134,16 +134,25 @@
 	o := p.send(own, q)
 	switch o.result.Outcome {
 	case sched.OutcomeRefusedNotRun:
-		// The caller may send the id again as soon as it has the refusal.
-		give, cancel := context.WithTimeout(context.WithoutCancel(c), abandonWait)
-		p.Claims.Abandon(give, v.Claim)
-		cancel()
+		p.abandon(c, v.Claim)
 	default:
 		p.Claims.Finish(v.Claim, o.result.Outcome, o.result.Answer)
 	}
 	p.answer(w, q, o)
 }
 
+// abandon frees an id before its caller is refused, since the caller may send
+// the id again as soon as it has the refusal.
+func (p *Proxy) abandon(c context.Context, claim dedup.Claim) {
+	c, cancel := context.WithTimeout(context.WithoutCancel(c), abandonWait)
+	defer cancel()
+	p.Claims.Abandon(c, claim)
+}
+
+// leastSendTime has to remain when a claim is granted. A send that starts later
+// would likely end by the deadline with an unknown outcome.
+const leastSendTime = 50 * time.Millisecond
+
 // abandonWait is long against an append from another region, and short for a
 // caller that is refused anyway.
 const abandonWait = 300 * time.Millisecond
--- a/internal/request/proxy/read.go
+++ b/internal/request/proxy/read.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/dedup"
@@ -25,6 +26,7 @@
 type request struct {
 	sched.Request
 	retry   *retry.Policy
+	latency *metrics.Histogram
 	started time.Time
 	// repeat is set if the caller sent the same unrepeatable id before.
 	repeat bool
@@ -49,7 +51,8 @@
 
 type service struct {
 	sched.ServiceSettings
-	retry *retry.Policy
+	retry   *retry.Policy
+	latency *metrics.Histogram
 }
 
 // rulesInForce compiles a version when it is first seen. Retry budgets of
@@ -62,11 +65,13 @@
 	}
 	n := &rules{settings: s, services: map[string]*service{}, partners: map[string]bool{}, teams: map[string]string{}}
 	for _, v := range s.Services {
+		e := &service{ServiceSettings: v, latency: p.histogram(v.Name)}
 		if old != nil && old.services[v.Name] != nil && old.services[v.Name].RetryBudget == v.RetryBudget {
-			n.services[v.Name] = &service{v, old.services[v.Name].retry}
-			continue
+			e.retry = old.services[v.Name].retry
+		} else {
+			e.retry = retry.NewPolicy(v.RetryBudget, p.Seed+uint64(len(n.services)))
 		}
-		n.services[v.Name] = &service{v, retry.NewPolicy(v.RetryBudget, p.Seed+uint64(len(n.services)))}
+		n.services[v.Name] = e
 	}
 	for _, v := range s.Partners {
 		n.partners[v.Name] = true
@@ -94,7 +99,7 @@
 		return &request{repeat: isRepeat(r.Header)}, refusal{code: sched.CodeUnknownService}
 	}
 	h := r.Header
-	q := &request{retry: s.retry, started: now, repeat: isRepeat(r.Header), Request: sched.Request{
+	q := &request{retry: s.retry, latency: s.latency, started: now, repeat: isRepeat(r.Header), Request: sched.Request{
 		ID: h.Get(sched.HeaderRequestID), Service: name, Partner: h.Get(sched.HeaderPartner),
 		Team: h.Get(sched.HeaderTeam), Urgency: s.Urgency, Method: r.Method, Path: path,
 		Unrepeatable: h.Get(sched.HeaderUnrepeatable) == "true", Deadline: now.Add(s.Timeout),
