Keep forgotten ids refused when the dedup window grows

Cause: entries expire by the window in force. After a change to a longer window the instance accepted ids again whose entries it had dropped, and such an id could run twice. Change: the table notes the time up to which it may have forgotten ids and refuses these. Claims poll by the injected clock. Conclusion: a real fault of at-most-once is corrected; it also covers a replay before the first configuration, when the window is 0.

--- a/internal/process/claims/keeper.go
+++ b/internal/process/claims/keeper.go
@@ -87,6 +87,7 @@
 	for _, s := range k.shards {
 		g.Go(func() error { return s.appendLoop(c) })
 		g.Go(func() error { return s.readLoop(c) })
+		g.Go(func() error { return s.pollLoop(c) })
 		g.Go(func() error { return s.keepLoop(c) })
 	}
 	return g.Wait()
--- a/internal/process/claims/shard.go
+++ b/internal/process/claims/shard.go
@@ -173,14 +173,22 @@
 	return nil
 }
 
-// readLoop reads the stream after each append and at every poll.
-func (s *shard) readLoop(c context.Context) error {
+// pollLoop asks for a read of an idle shard.
+func (s *shard) pollLoop(c context.Context) error {
 	poll := s.keeper.Poll
 	if poll <= 0 {
 		poll = defaultPoll
 	}
-	t := time.NewTicker(poll)
-	defer t.Stop()
+	for {
+		if err := s.keeper.Clock.Sleep(c, poll); err != nil {
+			return err
+		}
+		signal(s.read)
+	}
+}
+
+// readLoop reads the stream after each append and at every poll.
+func (s *shard) readLoop(c context.Context) error {
 	for {
 		for {
 			more, err := s.readOnce(c)
@@ -199,7 +207,6 @@
 		case <-c.Done():
 			return c.Err()
 		case <-s.read:
-		case <-t.C:
 		}
 	}
 }
--- a/pkg/dedup/model_test.go
+++ b/pkg/dedup/model_test.go
@@ -367,6 +367,9 @@
 			"land": m.land, "read": m.read, "readAgain": m.read, "send": m.send, "runLate": m.runLate,
 			"giveUp": m.giveUp, "kill": m.kill, "pass": m.pass,
 			"outage": func(t *rapid.T) { m.down = rapid.IntRange(0, 3).Draw(t, "down") == 0 },
+			"configure": func(t *rapid.T) {
+				m.member(t).holder.Window = rapid.SampledFrom([]time.Duration{0, window / 4, window}).Draw(t, "window")
+			},
 			"adjust": func(t *rapid.T) {
 				m.member(t).skew = time.Duration(rapid.IntRange(0, 2000).Draw(t, "skew")) * time.Millisecond
 			},
--- a/pkg/dedup/table.go
+++ b/pkg/dedup/table.go
@@ -51,7 +51,8 @@
 // Table is the replay of one shard. It isn't safe for concurrent use.
 type Table struct {
 	// Window is the age up to which ids are accepted, ClockBound the largest
-	// difference between two clocks. Both are set before use.
+	// difference between two clocks. Both may change: ids that were forgotten
+	// under a shorter window stay refused under a longer one.
 	Window     time.Duration
 	ClockBound time.Duration
 
@@ -60,7 +61,8 @@
 	void    map[voidKey]struct{}
 	buckets map[int64]*bucket
 	swept   int64
-	// floor is the time up to which the ids of trimmed records can lie.
+	// floor is the time up to which ids can be forgotten: those of trimmed
+	// records, and those that expired under the window in force at the time.
 	floor  time.Time
 	latest time.Time
 }
@@ -111,9 +113,12 @@
 	}
 	// An id can be ahead of its writer's clock by one bound, and the writer of
 	// a trimmed record ahead of the writer of the first one by another.
-	edge = edge.Add(2 * t.ClockBound)
-	if edge.After(t.floor) {
-		t.floor = edge
+	t.raise(edge.Add(2 * t.ClockBound))
+}
+
+func (t *Table) raise(floor time.Time) {
+	if floor.After(t.floor) {
+		t.floor = floor
 	}
 }
 
@@ -128,7 +133,7 @@
 	if t.live == nil {
 		t.live, t.void, t.buckets = map[ID]live{}, map[voidKey]struct{}{}, map[int64]*bucket{}
 	}
-	t.sweep(now)
+	t.forget(now)
 	for _, e := range b.Entries {
 		if t.expired(e.IDTime, now) {
 			continue
@@ -205,8 +210,10 @@
 	return b
 }
 
-// sweep drops the buckets whose newest entry has expired.
-func (t *Table) sweep(now time.Time) {
+// forget drops the buckets whose newest entry has expired. It notes how far
+// ids may be forgotten before any of them is.
+func (t *Table) forget(now time.Time) {
+	t.raise(now.Add(-t.keep()))
 	edge := now.Add(-t.keep()).UnixNano()/int64(bucketWidth) - 1
 	if edge <= t.swept {
 		return
