Test late verdicts, kept answers and forgotten ids

Cause: the driver of the claims had only end-to-end tests, and the case that the model found needs a test of its own. Change: a keeper test in virtual time against the log stand-in with late effects; a test of a window that grows.

--- /dev/null
+++ b/internal/process/claims/keeper_test.go
@@ -0,0 +1,68 @@
+package claims_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/process/claims"
+	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
+	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// start runs a keeper of its own incarnation until the test ends.
+func start(c context.Context, log sched.Log, n sched.Incarnation) *claims.Keeper {
+	random := rand.New(rand.NewPCG(1, uint64(n)))
+	k := &claims.Keeper{
+		Log: log, Clock: clock.System{}, Incarnation: n, Nonce: random.Uint64,
+		Limits: func() claims.Limits {
+			return claims.Limits{Window: time.Hour, ClockBound: time.Second, Instances: 9}
+		},
+	}
+	go func() { _ = k.Run(c) }()
+	return k
+}
+
+// Guards against an id that stays held by a claim whose caller was refused, a
+// verdict that is granted after the deadline, and a kept answer that is lost,
+// cut or given for another one, when the log is late.
+func TestLateVerdictAndKeptAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		log := logsvc.New(clock.System{}, 1, logsvc.Retention{})
+		log.SetFaults(logsvc.Faults{LateEffect: 1, LateBy: 300 * time.Millisecond})
+		first, second := start(c, log, 1), start(c, log, 2)
+		id := uuid.Must(uuid.NewV7()).String()
+		short, stop := context.WithTimeout(c, 100*time.Millisecond)
+		defer stop()
+		v, _ := first.Claim(short, "tunog", id)
+		is.Equal(v.Code, sched.CodeLogUnavailable)
+		log.SetFaults(logsvc.Faults{})
+		time.Sleep(5 * time.Second) // the late intent and the end of its claim arrive
+		v, _ = second.Claim(c, "tunog", id)
+		is.True(v.Granted)
+		open, _ := first.Claim(c, "tunog", id)
+		is.Equal(open.Code, sched.CodeUnknownInProgress)
+		second.Finish(v.Claim, sched.OutcomeAnswered, sched.Answer{Status: 201, Body: []byte("done")})
+		is.NoErr(second.Flush(c))
+		kept, a := first.Claim(c, "tunog", id)
+		is.Equal(kept.Code, sched.CodeAnsweredBefore)
+		is.Equal(a.Status, 201)
+		is.Equal(string(a.Body), "done")
+		other, _ := first.Claim(c, "bohr", id) // another partner's id of the same text
+		is.True(other.Granted)
+		first.Finish(other.Claim, sched.OutcomeAnswered, sched.Answer{Status: 200, Body: make([]byte, claims.MaxKept+1)})
+		is.NoErr(first.Flush(c))
+		large, _ := second.Claim(c, "bohr", id)
+		is.Equal(large.Code, sched.CodeAnswerNotKept)
+	})
+}
--- /dev/null
+++ b/pkg/dedup/table_test.go
@@ -0,0 +1,33 @@
+package dedup_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/dedup"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Guards against a second run of an id that expired under a short window, when
+// a longer one comes into force. The model found this case.
+func TestForgottenIDsStayRefused(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_800_000_000, 0)
+	h := dedup.Holder{Nonce: func() uint64 { return 2 }}
+	h.Window = 10 * time.Minute
+	ran := dedup.Entry{Kind: dedup.KindIntent, Nonce: 1, IDTime: start}
+	_, ok := h.Apply(1, dedup.Batch{WrittenAt: start, Entries: []dedup.Entry{ran}}, start)
+	is.True(ok)
+	now := start.Add(20 * time.Minute)
+	_, ok = h.Apply(2, dedup.Batch{WrittenAt: now}, now)
+	is.True(ok)
+	is.Equal(h.State(ran.ID).Status, dedup.StatusFree) // forgotten
+	h.Window = time.Hour
+	v, decided := h.Claim(ran.ID, start, now)
+	is.True(decided)
+	is.Equal(v.Code, sched.CodeIDTooOld)
+	_, decided = h.Claim(ran.ID, now, now)
+	is.True(!decided) // a new id isn't refused
+}
