--- a/internal/process/claims/keeper_test.go
+++ b/internal/process/claims/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +67,45 @@
 		is.Equal(large.Code, sched.CodeAnswerNotKept)
 	})
 }
+
+// Guards against more appends than the budget of all instances allows, and
+// against claims that starve behind it. The latencies are printed.
+func TestAppendBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		const instances, claimsPerSecond, seconds = 9, 40, 20
+		log := logsvc.New(clock.System{}, 1, logsvc.Retention{})
+		log.SetFaults(logsvc.Faults{Slow: 1, SlowBy: 2 * time.Millisecond})
+		took := make(chan time.Duration, instances*claimsPerSecond*seconds)
+		for n := range instances {
+			k := start(c, log, sched.Incarnation(n+1))
+			go func() {
+				for range claimsPerSecond * seconds {
+					go func() {
+						began := time.Now()
+						v, _ := k.Claim(c, "tunog", uuid.Must(uuid.NewV7()).String())
+						if v.Granted {
+							took <- time.Since(began)
+							k.Finish(v.Claim, sched.OutcomeAnswered, sched.Answer{Status: 200, Body: make([]byte, 500)})
+						}
+					}()
+					time.Sleep(time.Second / claimsPerSecond)
+				}
+			}()
+		}
+		time.Sleep(seconds * time.Second)
+		is.True(log.Counts().Appends <= 120*seconds+instances*4) // the budget and one burst each
+		time.Sleep(time.Second)
+		all := make([]time.Duration, 0, len(took))
+		for len(took) > 0 {
+			all = append(all, <-took)
+		}
+		is.Equal(len(all), instances*claimsPerSecond*seconds)
+		slices.Sort(all)
+		t.Logf("%d appends, claims took %v at the median, %v at the 99th percentile",
+			log.Counts().Appends, all[len(all)/2], all[len(all)*99/100])
+	})
+}
