--- a/pkg/admit/controller.go
+++ b/pkg/admit/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -17,6 +18,9 @@
 	// is in bytes.
 	QueueRequests int
 	QueueBytes    int64
+	// Services are those of the configuration, nil for all that have a
+	// capacity.
+	Services []string
 }
 
 // Result is the decision on one request.
@@ -53,8 +57,17 @@
 	}
 }
 
-// SetShares changes the shares. Queued requests stay queued.
-func (c *Controller) SetShares(s Shares) { c.shares = s }
+// SetShares changes the shares. Queued requests stay queued. A service that is
+// gone has no capacity any more, since its slots would count towards the
+// guarantees of the others.
+func (c *Controller) SetShares(s Shares) {
+	c.shares = s
+	for name, p := range c.pools {
+		if s.Services != nil && !slices.Contains(s.Services, name) {
+			p.slots, p.part, p.limit = 0, 0, 0
+		}
+	}
+}
 
 // SetCapacity tells the slots of a service in the fleet and the instance's
 // even part of them.
--- a/pkg/admit/controller_test.go
+++ b/pkg/admit/controller_test.go
@@ -164,3 +164,18 @@
 	tight := &admit.Ticket{Service: "echo", Partner: "tunog", Urgency: sched.UrgencyUrgent, Deadline: now.Add(150 * time.Millisecond)}
 	is.Equal(c.Offer(tight, now).Code, sched.CodeDeadlineTooShort)
 }
+
+// Guards against the slots of a removed service that still count as capacity.
+func TestRemovedServiceHasNoCapacity(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := admit.New(shares, 1)
+	c.SetCapacity("echo", 20, 10)
+	c.SetCapacity("gone", 20, 10)
+	s := shares
+	s.Services = []string{"echo"}
+	c.SetShares(s)
+	is.Equal(c.Limit("gone"), 0.0)
+	is.Equal(c.Offer(&admit.Ticket{Service: "gone", Deadline: now.Add(time.Hour)}, now).Code, sched.CodeNoBackend)
+	is.Equal(len(flood(c, 30, sched.UrgencyUrgent, "tunog", now)), 9) // 10 less what is never lent
+}
--- a/pkg/admit/queue.go
+++ b/pkg/admit/queue.go
@@ -142,8 +142,12 @@
 	for _, p := range s.Partners {
 		partners[p.Name] = p.Share
 	}
+	services := make([]string, 0, len(s.Services))
+	for _, v := range s.Services {
+		services = append(services, v.Name)
+	}
 	return Shares{
-		Classes: s.Limits.UrgencyShares, Partners: partners,
+		Classes: s.Limits.UrgencyShares, Partners: partners, Services: services,
 		QueueRequests: s.Limits.QueueRequests, QueueBytes: s.Limits.QueueBytes,
 	}
 }
