Let a second signal end a draining process

Cause: the first SIGTERM starts the drain, and a second one was ignored, so an operator could not end a drain that hangs. Change: after the first signal the default handling is restored. Conclusion: small change of main, without a test of its own.

--- a/cmd/parsleybarrow/main.go
+++ b/cmd/parsleybarrow/main.go
@@ -12,6 +12,8 @@
 
 func main() {
 	c, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	// A second signal ends a process whose drain takes too long.
+	context.AfterFunc(c, stop)
 	p := &cli.Program{Stdout: os.Stdout, Stderr: os.Stderr}
 	code := p.Run(c, os.Args[1:])
 	stop()
