Wait for a worker's word after the last start command is void

The next attempt now also waits for a report that was asked for after that time and does not show the last one as alive, or for the lease of the worker to lapse. The replayed state keeps the worker of the last attempt, so that a new planner can ask it.

--- a/pkg/codec/image.go
+++ b/pkg/codec/image.go
@@ -73,6 +73,7 @@
 		Started: s.Started, CancelRequested: s.CancelRequested, Checkpoint: string(s.Checkpoint),
 		Progress: int64(s.Progress), Evictions: int64(s.Evictions), Failures: int64(s.Failures),
 		Reason: s.Reason, CheckpointOf: int64(s.CheckpointOf),
+		LastWorker: string(s.LastWorker),
 	}
 }
 
@@ -86,6 +87,7 @@
 		Progress:   time.Duration(m.GetProgress()), Evictions: int(m.GetEvictions()),
 		Failures: int(m.GetFailures()), Reason: m.GetReason(),
 		CheckpointOf: sched.Attempt(m.GetCheckpointOf()),
+		LastWorker:   sched.InstanceID(m.GetLastWorker()),
 	}
 }
 
--- a/pkg/codec/task_test.go
+++ b/pkg/codec/task_test.go
@@ -27,7 +27,7 @@
 func drawImage(t *rapid.T) *sched.TaskImage {
 	status := sched.TaskStatus{
 		Task: drawTask(t), State: sched.TaskBound, Accepted: 3, Attempt: 4, Worker: "w", Term: 5, Started: true,
-		CancelRequested: true, Checkpoint: "c", CheckpointOf: 3, Progress: 7, Evictions: 8, Failures: 9, Reason: "r",
+		CancelRequested: true, Checkpoint: "c", CheckpointOf: 3, Progress: 7, Evictions: 8, Failures: 9, Reason: "r", LastWorker: "l",
 	}
 	return &sched.TaskImage{
 		AsOf: 1, NewestTerm: 2, Tasks: []sched.TaskStatus{status}, Ended: []sched.TaskStatus{status},
@@ -74,7 +74,7 @@
 func TestEntryFieldsAreCovered(t *testing.T) {
 	is := is.New(t)
 	is.Equal(reflect.TypeFor[sched.TaskEntry]().NumField(), 20)
-	is.Equal(reflect.TypeFor[sched.TaskStatus]().NumField(), 14)
+	is.Equal(reflect.TypeFor[sched.TaskStatus]().NumField(), 15)
 	is.Equal(reflect.TypeFor[sched.TaskImage]().NumField(), 8)
 }
 
--- a/pkg/lease/book.go
+++ b/pkg/lease/book.go
@@ -177,8 +177,25 @@
 // Settled tells whether nothing that was sent under an earlier term can still
 // take effect at a worker.
 func (b *Book) Settled(now time.Time) bool {
-	wait := b.limits.Lease + b.limits.ClockBound
-	return b.term != 0 && len(b.earlier) == 0 && now.Sub(b.quiet) > wait
+	return b.term != 0 && len(b.earlier) == 0 && now.After(b.settledAt())
+}
+
+func (b *Book) settledAt() time.Time {
+	return b.quiet.Add(b.limits.Lease + b.limits.ClockBound)
+}
+
+// VoidBy returns the time after which neither a call of the own term with this
+// deadline nor any call of an earlier term can take effect, and false while
+// that is not known.
+func (b *Book) VoidBy(notAfter time.Time) (time.Time, bool) {
+	if b.term == 0 || len(b.earlier) > 0 {
+		return time.Time{}, false
+	}
+	void := notAfter.Add(b.limits.ClockBound)
+	if s := b.settledAt(); s.After(void) {
+		void = s
+	}
+	return void, true
 }
 
 // Void tells whether a call of the own term with this deadline can no longer
--- a/pkg/ledger/rules.go
+++ b/pkg/ledger/rules.go
@@ -110,6 +110,7 @@
 		return
 	}
 	t.State, t.Attempt, t.Worker, t.Term, t.Started = sched.TaskPlaced, e.Attempt, e.Worker, e.Term, false
+	t.LastWorker = ""
 	if e.Ahead {
 		t.State = sched.TaskBound
 		w.Bound = w.Bound.Plus(needs)
@@ -326,7 +327,7 @@
 	if i := slices.Index(w.Tasks, t); i >= 0 {
 		w.Tasks = slices.Delete(w.Tasks, i, i+1)
 	}
-	t.State, t.Worker, t.Term = sched.TaskQueued, "", 0
+	t.State, t.LastWorker, t.Worker, t.Term = sched.TaskQueued, t.Worker, "", 0
 	return w
 }
 
--- a/pkg/plan/decide.go
+++ b/pkg/plan/decide.go
@@ -40,8 +40,9 @@
 // delayed is a task whose last attempt ended, but whose start command may
 // still be on its way to a worker that has lost its memory of the end.
 type delayed struct {
-	task  sched.TaskID
-	until time.Time
+	key    attemptKey
+	worker sched.InstanceID
+	until  time.Time // deadline of the last call that carried the command
 }
 
 // changed follows a valid entry.
@@ -92,11 +93,12 @@
 	}
 	switch t.State {
 	case sched.TaskQueued:
-		until := p.now
-		if c.Worker != nil {
-			until = p.startVoid(c.Worker.Worker, attemptKey{t.Task.ID, c.Attempt})
+		if c.Kind == sched.EntryExpired {
+			// Nothing on the worker was alive, and no call was valid.
+			p.queue.Add(t)
+			return
 		}
-		p.delay(t, until)
+		p.delay(t)
 	case sched.TaskDone:
 		p.estimator.Ran(t.Task.Kind, t.Progress)
 		p.event("taskDone", t.Task.ID, "")
@@ -115,8 +117,10 @@
 	}
 }
 
-func (p *Planner) delay(t *sched.TaskStatus, until time.Time) {
-	p.delayed = append(p.delayed, delayed{t.Task.ID, until})
+// delay lets a task wait until its last attempt can't start again.
+func (p *Planner) delay(t *sched.TaskStatus) {
+	k := attemptKey{t.Task.ID, t.Attempt}
+	p.delayed = append(p.delayed, delayed{k, t.LastWorker, p.startVoid(t.LastWorker, k)})
 }
 
 // touch updates what a worker has free and lets it be called at once.
@@ -237,22 +241,46 @@
 	})
 }
 
+// releaseDelayed queues the tasks whose last attempt can't start again.
 func (p *Planner) releaseDelayed() {
-	if len(p.delayed) == 0 || !p.book.Settled(p.now) {
+	if len(p.delayed) == 0 {
 		return
 	}
+	for _, n := range p.order {
+		n.awaited = false
+	}
 	kept := p.delayed[:0]
 	for _, d := range p.delayed {
-		if !p.book.Void(d.until, p.now) {
+		if !p.cantStart(d) {
 			kept = append(kept, d)
 			continue
 		}
-		if t, ok := p.ledger.Task(d.task); ok && t.State == sched.TaskQueued {
+		if t, ok := p.ledger.Task(d.key.task); ok && t.State == sched.TaskQueued {
 			p.queue.Add(t)
+			p.stirred = true
 		}
 	}
 	p.delayed = kept
-	p.stirred = true
+}
+
+// cantStart tells whether the start command of an ended attempt is void, and
+// whether the worker said after that time that the attempt doesn't run. A
+// command that arrived just before the deadline may have started it again.
+func (p *Planner) cantStart(d delayed) bool {
+	void, known := p.book.VoidBy(d.until)
+	if !known || !p.now.After(void) {
+		return false
+	}
+	n := p.nodes[d.worker]
+	if n == nil {
+		return true
+	}
+	r, reported := n.reports[d.key]
+	if n.clear.After(void) && (!reported || r.State.Ended()) {
+		return true
+	}
+	n.awaited = true
+	return false
 }
 
 // share returns the largest part of its quota that a team holds, or of the
--- a/pkg/plan/faults_test.go
+++ b/pkg/plan/faults_test.go
@@ -198,6 +198,11 @@
 	cfg := config(seed, testPlanners, testWorkers)
 	cfg.Truth = variedTruth
 	cfg.CheckTokens = c.yes()
+	if c.yes() {
+		// Clocks that differ by more than it takes to place a task again.
+		cfg.Offset = 2 * time.Second
+		cfg.Settings.Limits.ClockBound = 2 * cfg.Offset
+	}
 	suspects := c.yes()
 	if c.yes() {
 		cfg.Retain = 200
@@ -256,3 +261,31 @@
 		runFaults(t, f.seed, f.steps)
 	}
 }
+
+// Guards against an attempt that starts a second time: its start command is
+// repeated by the network after the worker has ended the attempt, lost its
+// memory in a restart, and the next attempt runs elsewhere.
+func TestRepeatedStartsAfterRestart(t *testing.T) {
+	for seed := range uint64(40) {
+		c := config(seed, 1, testWorkers)
+		c.Truth = func(sched.TaskID, string, sched.InstanceID) batch.Work {
+			return batch.Work{RunTime: 3 * time.Second}
+		}
+		s := batch.New(c)
+		s.Run(2 * time.Second)
+		s.Faults = batch.Faults{DuplicateCall: 1, MaxDelay: 12 * time.Second}
+		for n := range 40 {
+			k := task(fmt.Sprintf("task-%d", n), 12_000)
+			k.Urgency = sched.UrgencyBackground
+			s.Submit(0, k)
+			u := task(fmt.Sprintf("urgent-%d", n), 12_000)
+			u.Urgency = sched.UrgencyUrgent
+			s.Submit(0, u)
+			s.Run(time.Second)
+			w := n % testWorkers
+			s.CrashWorker(w)
+			s.RestartWorker(w)
+			checkNow(t, s, fmt.Sprintf("restart %d with seed %d", n, seed))
+		}
+	}
+}
--- a/pkg/plan/node.go
+++ b/pkg/plan/node.go
@@ -48,6 +48,10 @@
 	// it repeats a start, so that a worker that restarted is noticed.
 	unsure bool
 	silent bool // no calls until the leases have lapsed
+	// clear is the latest time as of which only the reported attempts may run.
+	clear time.Time
+	// awaited is set while a task waits for the worker's word.
+	awaited bool
 
 	boot    uint64 // 0 until the first report of the term
 	reports map[attemptKey]sched.AttemptReport
@@ -67,7 +71,7 @@
 func (n *node) reset() {
 	n.serial, n.dirty, n.unsure, n.silent = 0, true, false, false
 	n.boot = 0
-	n.answered = time.Time{}
+	n.answered, n.clear, n.awaited = time.Time{}, time.Time{}, false
 	n.reports = map[attemptKey]sched.AttemptReport{}
 	n.seen = map[attemptKey]bool{}
 	n.starts = map[attemptKey]sent{}
@@ -133,7 +137,8 @@
 	return false
 }
 
-// startVoid returns the deadline of the latest call that may start an attempt.
+// startVoid returns the deadline of the latest call of the own term that may
+// start an attempt.
 func (p *Planner) startVoid(worker sched.InstanceID, k attemptKey) time.Time {
 	if n := p.nodes[worker]; n != nil {
 		return n.starts[k].until
@@ -185,7 +190,7 @@
 		n.unsure = true
 		p.refresh(n.member.ID)
 	}
-	if p.book.Term() == 0 || !p.book.Settled(p.now) || !p.placed(n) {
+	if p.book.Term() == 0 || !p.book.Settled(p.now) || !(p.placed(n) || n.awaited) {
 		return
 	}
 	// Calls stop after a lease without an answer, so that the deadlines of
@@ -214,13 +219,17 @@
 			continue
 		}
 		w, known := p.ledger.Worker(n.member.ID)
-		if !known || len(w.Tasks) == 0 {
+		idle := !known || len(w.Tasks) == 0
+		if p.book.Lapsed(n.member.ID, p.now) {
+			n.clear, n.awaited = p.now, false
+			clear(n.reports)
+			if !idle {
+				p.expireAll(w)
+			}
+		}
+		if idle && !n.awaited {
 			// The worker is asked again, as nothing on it can be alive.
 			n.silent = false
-			continue
-		}
-		if p.book.Lapsed(n.member.ID, p.now) {
-			p.expireAll(w)
 		}
 	}
 }
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -36,7 +36,7 @@
 // reached notes that a worker answered, and whether it was restarted.
 func (p *Planner) reached(n *node, r *sched.WorkerReport) {
 	before := n.takesTasks()
-	n.answered = n.calledAt
+	n.answered, n.clear = n.calledAt, n.calledAt
 	if n.unsure || n.boot == 0 {
 		n.dirty = true
 	}
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -119,7 +119,7 @@
 			return
 		}
 		if t.Attempt > 0 {
-			p.delay(t, p.now)
+			p.delay(t)
 			return
 		}
 		p.queue.Add(t)
--- a/pkg/sched/entry.go
+++ b/pkg/sched/entry.go
@@ -112,6 +112,8 @@
 	Attempt Attempt
 	Worker  InstanceID
 	Term    Offset
+	// LastWorker is that of the latest attempt once it has ended.
+	LastWorker InstanceID
 	// Started is set once a worker reported the attempt.
 	Started bool
 	// CancelRequested is set once the task was withdrawn; its attempt may still
