--- a/pkg/plan/node.go
+++ b/pkg/plan/node.go
@@ -190,7 +190,8 @@
 		n.unsure = true
 		p.refresh(n.member.ID)
 	}
-	if p.book.Term() == 0 || !p.book.Settled(p.now) || !(p.placed(n) || n.awaited) {
+	needed := p.placed(n) || n.awaited
+	if !needed || p.book.Term() == 0 || !p.book.Settled(p.now) {
 		return
 	}
 	// Calls stop after a lease without an answer, so that the deadlines of
