--- a/pkg/place/index_test.go
+++ b/pkg/place/index_test.go
@@ -72,10 +72,10 @@
 // placement that ignores interference.
 func TestFindSpreadsAndAvoids(t *testing.T) {
 	is := is.New(t)
-	bad := sched.InstanceID("")
+	bad, worst := sched.InstanceID(""), 1.0
 	x := NewIndex(rand.New(rand.NewPCG(1, 1)), func(w sched.InstanceID, _ string) float64 {
 		if w == bad {
-			return 1
+			return worst
 		}
 		return 0
 	})
@@ -88,6 +88,15 @@
 	bad = "b"
 	id, _ = x.Find(need(1000))
 	is.Equal(id, sched.InstanceID("a"))
+	x.Remove("a")
+	bad = ""
+	_, found := x.Find(need(1000))
+	is.True(found)
+	x.Set("a", "rack-0", sched.Resources{})
+	worst = 1.1
+	bad = "b"
+	_, found = x.Find(need(1000))
+	is.True(!found) // a service would miss its goal
 }
 
 // Guards against a team that starves others by submitting first, and against
--- a/pkg/plan/decide.go
+++ b/pkg/plan/decide.go
@@ -372,6 +372,9 @@
 	if s := p.options.Suspects; s != nil {
 		s.Placed(p.now, worker)
 	}
+	if w, ok := p.options.Interference.(Watcher); ok {
+		w.Placed(p.now, worker, t.Task.ID, t.Attempt+1, t.Task.Kind)
+	}
 	p.plans[t.Task.ID] = decision{worker, t.Task.Team, needs, ahead}
 	p.teams[t.Task.Team] = p.teams[t.Task.Team].Plus(needs)
 	o := p.overlay[worker]
--- a/pkg/plan/input.go
+++ b/pkg/plan/input.go
@@ -141,6 +141,13 @@
 	Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string)
 }
 
+// Watcher is implemented by an Interference that wants to know of placements
+// before a report shows them, and of workers that left.
+type Watcher interface {
+	Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string)
+	Forget(worker sched.InstanceID)
+}
+
 // Action throttles or evicts an attempt.
 type Action struct {
 	Worker sched.InstanceID
--- a/pkg/plan/node.go
+++ b/pkg/plan/node.go
@@ -86,6 +86,9 @@
 
 // setWorkers takes the listed workers over.
 func (p *Planner) setWorkers(members []sched.Member) {
+	if p.sameWorkers(members) {
+		return
+	}
 	listed := make(map[sched.InstanceID]bool, len(members))
 	for _, m := range members {
 		if m.Role != sched.RoleWorker {
@@ -108,6 +111,9 @@
 		if !listed[n.member.ID] && p.unlisted(n) {
 			delete(p.nodes, n.member.ID)
 			p.book.Forget(n.member.ID, p.now)
+			if w, ok := p.options.Interference.(Watcher); ok {
+				w.Forget(n.member.ID)
+			}
 			continue
 		}
 		kept = append(kept, n)
@@ -115,6 +121,23 @@
 	p.order = kept
 }
 
+// sameWorkers tells whether the list is the one that was taken over last, as it
+// nearly always is.
+func (p *Planner) sameWorkers(members []sched.Member) bool {
+	i := 0
+	for k := range members {
+		m := &members[k]
+		if m.Role != sched.RoleWorker {
+			continue
+		}
+		if i >= len(p.order) || p.order[i].member != *m || !p.order[i].listed {
+			return false
+		}
+		i++
+	}
+	return i == len(p.order)
+}
+
 // removeAfter is the time after which a worker that left the list and holds no
 // task is removed from the state.
 const removeAfter = time.Hour
