--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -86,7 +86,6 @@
 
 	// Planning, valid while there is an own term.
 	queue     *place.Queue
-	estimator *place.Estimator
 	direct    Finder
 	express   Finder // for urgent tasks, held room included
 	ahead     Finder
@@ -121,14 +120,13 @@
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
 	p := &Planner{
-		options:   o,
-		random:    rand.New(rand.NewPCG(o.Seed, uint64(o.Incarnation))),
-		ledger:    ledger.New(),
-		noted:     map[fact]bool{},
-		gone:      map[sched.InstanceID]bool{},
-		estimator: place.NewEstimator(),
-		shunned:   map[sched.InstanceID]bool{},
-		nodes:     map[sched.InstanceID]*node{},
+		options: o,
+		random:  rand.New(rand.NewPCG(o.Seed, uint64(o.Incarnation))),
+		ledger:  ledger.New(),
+		noted:   map[fact]bool{},
+		gone:    map[sched.InstanceID]bool{},
+		shunned: map[sched.InstanceID]bool{},
+		nodes:   map[sched.InstanceID]*node{},
 	}
 	p.setSettings(o.Settings)
 	p.book = lease.New(p.limits())
