--- a/internal/bench/batch/sim.go
+++ b/internal/bench/batch/sim.go
@@ -85,6 +85,10 @@
 	Accepted map[sched.TaskID]bool
 	// Replies counts the answers to submissions and cancellations by code.
 	Replies map[sched.Code]int
+	// Calls counts the exchanges with workers.
+	Calls int
+	// StepTime is the real time that the planners took.
+	StepTime time.Duration
 	// Wasted is the processor time of attempts whose work was lost.
 	Wasted time.Duration
 	// Appends and AppendBytes count what reached the log.
@@ -129,6 +133,9 @@
 // Ledger returns a replay of everything that was appended.
 func (s *Sim) Ledger() *ledger.Ledger { return s.judge }
 
+// Log returns the records that the log holds.
+func (s *Sim) Log() []sched.Record { return s.log[s.trimmed:] }
+
 // Run lets virtual time pass.
 func (s *Sim) Run(d time.Duration) {
 	end := s.now.Add(d)
