Give the daemon's planner the interference model and the judge

Cause: the daemon made its planner without Interference and Suspects, so neither was in force outside of the benchmarks. Change: the daemon passes both, with the configured latency goals. Conclusion: go test ./pkg/coloc ./internal/process/daemon passes.

--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -5,10 +5,12 @@
 	"errors"
 	"time"
 
+	"github.com/parsleybarrow/parsleybarrow/pkg/coloc"
 	"github.com/parsleybarrow/parsleybarrow/pkg/lease"
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/suspct"
 )
 
 // planning is the part of the control state that belongs to tasks.
@@ -40,9 +42,21 @@
 	}
 	c.plan.planner = plan.New(plan.Options{
 		Instance: c.d.ID, Incarnation: c.d.Incarnation, Seed: c.d.Seed, Settings: c.settings,
+		Interference: coloc.New(coloc.Options{Goal: c.latencyGoal}), Suspects: suspct.New(),
 	})
 }
 
+// latencyGoal returns the 99th percentile that the configuration in force asks
+// of a service, 0 if it asks for none. The planner calls it in the actor.
+func (c *control) latencyGoal(service string) time.Duration {
+	for _, s := range c.settings.Services {
+		if s.Name == service {
+			return s.LatencyGoal
+		}
+	}
+	return 0
+}
+
 // step gives the planner an input. Without a configuration nothing is planned.
 func (c *control) step(now time.Time, in plan.Input) {
 	if c.plan.planner != nil {
--- a/pkg/coloc/model.go
+++ b/pkg/coloc/model.go
@@ -9,8 +9,9 @@
 
 // Options configure a model. The zero value is valid.
 type Options struct {
-	// Goal returns the 99th percentile that a service should keep, or 0. Then,
-	// or if Goal is nil, the goal is Ratio times the learned latency alone.
+	// Goal returns the 99th percentile that a service should keep, or 0. The
+	// goal is at least Ratio times the learned latency alone, which is also the
+	// goal if Goal is nil.
 	Goal func(service string) time.Duration
 	// Ratio is DefaultRatio if 0.
 	Ratio float64
@@ -105,14 +106,14 @@
 }
 
 // goal is the latency that a service should keep at a load, relative to the
-// filter's scale.
+// filter's scale. A configured goal that the service misses even alone counts
+// as Ratio times alone: no eviction could meet it.
 func (m *Model) goal(service string, f *filter, load float64) float64 {
+	goal := m.options.Ratio * f.alone(load)
 	if m.options.Goal != nil {
-		if g := m.options.Goal(service); g > 0 {
-			return g.Seconds() / f.scale
-		}
+		goal = max(goal, m.options.Goal(service).Seconds()/f.scale)
 	}
-	return m.options.Ratio * f.alone(load)
+	return goal
 }
 
 // Weights of a score.
--- a/pkg/coloc/model_test.go
+++ b/pkg/coloc/model_test.go
@@ -208,6 +208,30 @@
 	i.True(never.Score(worker, "x") <= 1) // throttled to a quarter it fits
 }
 
+// Guards against a goal below the latency alone, which would evict every task
+// for nothing, and against a generous goal that is ignored.
+func TestGoalIsTheConfiguredOneUnlessItCannotBeMet(t *testing.T) {
+	i := is.New(t)
+	for _, tt := range []struct {
+		goal      time.Duration
+		throttled bool
+	}{
+		{aloneTime / 2, true}, {aloneTime * 2, false},
+	} {
+		r := newRig(1, map[byte]float64{'n': 0.5})
+		r.model = New(Options{Goal: func(string) time.Duration { return tt.goal }})
+		for range 60 {
+			r.second()
+		}
+		r.tasks["n1"] = 1
+		for range 300 {
+			r.second()
+		}
+		i.True(r.tasks["n1"] > 0.25) // not evicted, and no lower than the goal needs
+		i.Equal(r.tasks["n1"] < 1, tt.throttled)
+	}
+}
+
 // Guards against scores that are lost when another instance becomes planner.
 func TestSavedScoresAreLoaded(t *testing.T) {
 	i := is.New(t)
