--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -64,7 +64,7 @@
 		bases:   map[sched.DataCentre]string{},
 	}
 	for _, a := range s.Areas {
-		f.areas[a.DataCentre] = &Gate{Log: f.Log, List: f.List, Workers: f.Pool}
+		f.areas[a.DataCentre] = &Gate{Log: f.Log, List: f.List, Workers: f.Pool, Delay: a.StoreDelay, Clock: clock}
 		for n := range a.Workers {
 			f.addWorker(a, n)
 		}
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -44,6 +45,24 @@
 	}
 }
 
+// Guards against a platform without the latency between regions, on which a
+// reader that polls as if it were local would look fine.
+func TestStoreIsFurtherFromTheOtherRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		f := New(Tiefenquell(), clock.System{})
+		for _, tt := range []struct {
+			centre sched.DataCentre
+			want   time.Duration
+		}{{"obb-b", 2 * time.Millisecond}, {"nby-a", 40 * time.Millisecond}} {
+			began := time.Now()
+			_, err := f.Area(tt.centre).Append(t.Context(), "x", nil)
+			i.NoErr(err)
+			i.Equal(time.Since(began), tt.want)
+		}
+	})
+}
+
 func post(t *testing.T, url, body string) int {
 	resp, err := http.Post(url, "application/json", strings.NewReader(body))
 	if err != nil {
--- a/internal/standin/fleet/gate.go
+++ b/internal/standin/fleet/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
 	"github.com/parsleybarrow/parsleybarrow/internal/standin/roster"
@@ -18,6 +19,9 @@
 	Log     sched.Log
 	List    sched.Roster
 	Workers sched.Workers
+	// Delay is the one-way latency to log and list, by Clock.
+	Delay time.Duration
+	Clock sched.Clock
 
 	cut atomic.Bool
 }
@@ -37,7 +41,22 @@
 		// A caller can't tell a cut before the call from one after it.
 		return 0, sched.ErrUncertain
 	}
-	return g.Log.Append(c, stream, data)
+	if g.travel(c) != nil {
+		return 0, sched.ErrUncertain
+	}
+	o, err := g.Log.Append(c, stream, data)
+	if g.travel(c) != nil {
+		return 0, sched.ErrUncertain
+	}
+	return o, err
+}
+
+// travel waits for the latency of one way.
+func (g *Gate) travel(c context.Context) error {
+	if g.Delay <= 0 {
+		return nil
+	}
+	return g.Clock.Sleep(c, g.Delay)
 }
 
 // Read implements sched.Log.
@@ -45,7 +64,14 @@
 	if g.cut.Load() {
 		return sched.Page{}, sched.ErrUnavailable
 	}
-	return g.Log.Read(c, stream, from, limit)
+	if g.travel(c) != nil {
+		return sched.Page{}, sched.ErrUnavailable
+	}
+	p, err := g.Log.Read(c, stream, from, limit)
+	if g.travel(c) != nil {
+		return sched.Page{}, sched.ErrUnavailable
+	}
+	return p, err
 }
 
 // Members implements sched.Roster.
@@ -53,7 +79,14 @@
 	if g.cut.Load() {
 		return nil, sched.ErrUnavailable
 	}
-	return g.List.Members(c)
+	if g.travel(c) != nil {
+		return nil, sched.ErrUnavailable
+	}
+	list, err := g.List.Members(c)
+	if g.travel(c) != nil {
+		return nil, sched.ErrUnavailable
+	}
+	return list, err
 }
 
 // Exchange implements sched.Workers.
--- a/internal/standin/fleet/setup.go
+++ b/internal/standin/fleet/setup.go
@@ -16,8 +16,16 @@
 	Workers    int
 	// Entries is the number of entry instances that the user runs there.
 	Entries int
+	// StoreDelay is the one-way latency to the log and the list.
+	StoreDelay time.Duration
 }
 
+// One-way latencies to the platform's store, which is in the first region.
+const (
+	nearStore = time.Millisecond
+	farStore  = 20 * time.Millisecond
+)
+
 // Setup describes a platform. Every worker carries one backend server.
 type Setup struct {
 	Seed     uint64
@@ -64,9 +72,9 @@
 func Tunog() Setup {
 	s := common()
 	s.Areas = []Area{
-		{"quezon-a", "luzon", 22, 3},
-		{"pasig-b", "luzon", 22, 3},
-		{"cebu-a", "visayas", 22, 3},
+		{"quezon-a", "luzon", 22, 3, nearStore},
+		{"pasig-b", "luzon", 22, 3, nearStore},
+		{"cebu-a", "visayas", 22, 3, farStore},
 	}
 	s.RackSize = 11
 	s.Service = "simdesk"
@@ -86,9 +94,9 @@
 func Tiefenquell() Setup {
 	s := common()
 	s.Areas = []Area{
-		{"obb-a", "obb", 16, 2},
-		{"obb-b", "obb", 16, 2},
-		{"nby-a", "nby", 16, 2},
+		{"obb-a", "obb", 16, 2, nearStore},
+		{"obb-b", "obb", 16, 2, nearStore},
+		{"nby-a", "nby", 16, 2, farStore},
 	}
 	s.RackSize = 8
 	s.Service = "wellrec"
