Use the rate library in tail and writer, rename figurative terms

Cause: tail and writer had token buckets of their own although golang.org/x/time is a dependency, and some names were not usual terms. Change: both use rate.Limiter on the injected clock; Tail.Poke is Tail.Wake. The writer now waits for its turn before it forms a batch, so items that arrive meanwhile go along.

--- a/internal/process/follow/tail.go
+++ b/internal/process/follow/tail.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -66,9 +68,8 @@
 	Backoff  time.Duration
 	PageSize int
 
-	poke    chan struct{}
-	savings float64
-	saved   time.Time
+	wake    chan struct{}
+	limiter *rate.Limiter
 	asOf    atomic.Int64
 }
 
@@ -77,15 +78,15 @@
 	return &Tail{
 		Log: log, Clock: clock, Stream: stream, Random: random, Deliver: deliver,
 		Fastest: DefaultFastest, Slowest: DefaultSlowest, Backoff: DefaultBackoff, PageSize: DefaultPageSize,
-		poke: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1),
 	}
 }
 
-// Poke asks for a read as soon as Fastest allows, for instance after an append
+// Wake asks for a read as soon as Fastest allows, for instance after an append
 // whose answer was lost. It does not block.
-func (t *Tail) Poke() {
+func (t *Tail) Wake() {
 	select {
-	case t.poke <- struct{}{}:
+	case t.wake <- struct{}{}:
 	default:
 	}
 }
@@ -105,7 +106,9 @@
 // returns the context's error.
 func (t *Tail) Run(c context.Context, from sched.Offset) error {
 	from = max(from, 1)
-	t.saved, t.savings = t.Clock.Now(), t.Budget*burstSeconds
+	t.limiter = rate.NewLimiter(rate.Limit(t.Budget), int(t.Budget*burstSeconds))
+	// Each read pays for the next one, this pays for the first.
+	t.limiter.ReserveN(t.Clock.Now(), callOverhead)
 	failures := 0
 	for c.Err() == nil {
 		next, pause, err := t.step(c, from)
@@ -164,12 +167,9 @@
 		return t.Fastest
 	}
 	now := t.Clock.Now()
-	t.savings = min(t.savings+t.Budget*now.Sub(t.saved).Seconds(), t.Budget*burstSeconds) - float64(size)
-	t.saved = now
-	// A debt beyond the slowest pause can't be paid back by pausing.
-	t.savings = max(t.savings, -t.Budget*t.Slowest.Seconds())
-	due := time.Duration((callOverhead - t.savings) / t.Budget * float64(time.Second))
-	return min(max(due, t.Fastest), t.Slowest)
+	// The limiter refuses more than its burst at a time.
+	delay := t.limiter.ReserveN(now, min(size, t.limiter.Burst())).DelayFrom(now)
+	return min(max(delay, t.Fastest), t.Slowest)
 }
 
 // backoff returns the pause after the given number of failures. It is drawn
@@ -182,7 +182,7 @@
 	return max(t.Fastest, time.Duration(t.Random.Float64()*float64(bound)))
 }
 
-// pause waits for d, or for Poke if it may be cut short. A poke still waits
+// pause waits for d, or for Wake if it may be cut short. A wake-up still waits
 // for Fastest, which bounds the rate of reads.
 func (t *Tail) pause(c context.Context, d time.Duration, cut bool) {
 	if d <= 0 {
@@ -200,7 +200,7 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-t.poke:
+		case <-t.wake:
 			cancel()
 		case <-sleep.Done():
 		}
--- a/internal/process/follow/tail_test.go
+++ b/internal/process/follow/tail_test.go
@@ -112,7 +112,7 @@
 		i.True(reads > 60)                                                     // Slowest is 1 s
 		time.Sleep(time.Until(r.tail.AsOf().Add(400 * time.Millisecond)))
 		r.append(t, 1)
-		r.tail.Poke()
+		r.tail.Wake()
 		time.Sleep(DefaultFastest + time.Millisecond)
 		synctest.Wait()
 		i.Equal(len(r.seen), 1)
--- a/internal/process/writer/writer.go
+++ b/internal/process/writer/writer.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/frame"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -74,15 +74,15 @@
 	// make the tail read soon.
 	Uncertain func()
 
-	rate  atomic.Uint64 // float64 bits
-	wake  chan struct{}
-	count uint64
+	limiter *rate.Limiter
+	wake    chan struct{}
+	count   uint64
 
-	mu     sync.Mutex
-	queue  []item
-	bytes  int
-	closed bool
-	flight *flight
+	mu       sync.Mutex
+	queue    []item
+	bytes    int
+	closed   bool
+	inFlight *pending
 }
 
 type item struct {
@@ -90,8 +90,8 @@
 	done func(Result)
 }
 
-// flight is the record that is being appended.
-type flight struct {
+// pending is the record that is being appended.
+type pending struct {
 	id    string
 	items []item
 	// seen gets the offset at which the record was read back.
@@ -105,8 +105,8 @@
 		QueueItems: DefaultQueueItems, QueueBytes: DefaultQueueBytes,
 		BatchItems: DefaultBatchItems, BatchBytes: DefaultBatchBytes,
 		Patience: DefaultPatience, wake: make(chan struct{}, 1),
+		limiter: rate.NewLimiter(DefaultRate, 1),
 	}
-	w.SetRate(DefaultRate)
 	return w
 }
 
@@ -117,7 +117,7 @@
 // SetRate sets the largest number of appends per second. It takes effect with
 // the next append.
 func (w *Writer) SetRate(perSecond float64) {
-	w.rate.Store(math.Float64bits(max(perSecond, slowestRate)))
+	w.limiter.SetLimitAt(w.Clock.Now(), rate.Limit(max(perSecond, slowestRate)))
 }
 
 // Enqueue queues an item. It returns ErrFull or ErrClosed, and done is not
@@ -167,7 +167,7 @@
 func (w *Writer) Idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.queue) == 0 && w.flight == nil
+	return len(w.queue) == 0 && w.inFlight == nil
 }
 
 // Seen tells the writer that a frame with the given id was read at the given
@@ -175,9 +175,9 @@
 func (w *Writer) Seen(id string, at sched.Offset) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.flight != nil && w.flight.id == id {
+	if w.inFlight != nil && w.inFlight.id == id {
 		select {
-		case w.flight.seen <- at:
+		case w.inFlight.seen <- at:
 		default: // read twice, the first offset counts
 		}
 	}
@@ -193,21 +193,20 @@
 		case <-c.Done():
 			return c.Err()
 		}
-		for w.takeOff() {
-			started := w.Clock.Now()
-			w.land(w.send(c))
-			interval := time.Duration(float64(time.Second) / math.Float64frombits(w.rate.Load()))
-			if err := w.Clock.Sleep(c, interval-w.Clock.Now().Sub(started)); err != nil {
+		for w.Backlog() > 0 {
+			now := w.Clock.Now()
+			if err := w.Clock.Sleep(c, w.limiter.ReserveN(now, 1).DelayFrom(now)); err != nil {
 				return err
 			}
+			w.nextBatch()
+			w.complete(w.send(c))
 		}
 	}
 	return c.Err()
 }
 
-// takeOff moves the next batch from the queue into flight. It returns false if
-// the queue is empty.
-func (w *Writer) takeOff() bool {
+// nextBatch moves the next batch from the queue into flight.
+func (w *Writer) nextBatch() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n, size := 0, 0
@@ -219,23 +218,19 @@
 		}
 		n++
 	}
-	if n == 0 {
-		return false
-	}
 	w.count++
-	w.flight = &flight{
+	w.inFlight = &pending{
 		id:    fmt.Sprintf("%s/%d", w.Name, w.count),
 		items: append([]item(nil), w.queue[:n]...),
 		seen:  make(chan sched.Offset, 1),
 	}
 	w.queue = append([]item(nil), w.queue[n:]...)
 	w.bytes -= size
-	return true
 }
 
 // send appends the record in flight, once, and finds out what became of it.
 func (w *Writer) send(c context.Context) Result {
-	f := w.flight
+	f := w.inFlight
 	r := frame.Frame{ID: f.id}
 	for _, i := range f.items {
 		r.Items = append(r.Items, i.data)
@@ -273,11 +268,11 @@
 	}
 }
 
-// land tells the waiters of the record in flight.
-func (w *Writer) land(r Result) {
+// complete tells the waiters of the record in flight.
+func (w *Writer) complete(r Result) {
 	w.mu.Lock()
-	f := w.flight
-	w.flight = nil
+	f := w.inFlight
+	w.inFlight = nil
 	w.mu.Unlock()
 	for n, i := range f.items {
 		one := r
--- a/pkg/coloc/control.go
+++ b/pkg/coloc/control.go
@@ -23,9 +23,9 @@
 	leastShare = 0.25
 	// leastStep is the smallest change of a share that is worth a command.
 	leastStep = 0.05
-	// worsenedBefore is the number of measurements in a row that must be over
+	// evictAfter is the number of measurements in a row that must be over
 	// the goal, with every disturbing task throttled, before an eviction.
-	worsenedBefore = 3
+	evictAfter = 3
 	// evictGap is the least time between two evictions on one worker.
 	evictGap = time.Minute
 	// matters is the least part of the goal that a task must add to be worth a
@@ -56,7 +56,7 @@
 		}
 		if a, ok := m.control(now, h); ok {
 			h.changed = now
-			h.see(view{at: now})
+			h.record(view{at: now})
 			out = append(out, a)
 		}
 	}
@@ -70,7 +70,7 @@
 		return plan.Action{}, false
 	}
 	if level <= upper {
-		h.worsened = 0
+		h.overGoal = 0
 		return m.loosen(h)
 	}
 	found := m.candidates(h, service)
@@ -82,11 +82,11 @@
 			return throttle(h, c, level), true
 		}
 	}
-	h.worsened++
-	if h.worsened < worsenedBefore || now.Sub(h.evicted) < evictGap {
+	h.overGoal++
+	if h.overGoal < evictAfter || now.Sub(h.evicted) < evictGap {
 		return plan.Action{}, false
 	}
-	h.worsened, h.evicted = 0, now
+	h.overGoal, h.evicted = 0, now
 	worst := found[0]
 	delete(h.tasks, worst.key)
 	return plan.Action{Worker: h.id, Task: worst.key.task, Evict: true}, true
--- a/pkg/coloc/host.go
+++ b/pkg/coloc/host.go
@@ -30,7 +30,7 @@
 	views    []view // oldest first
 	measured time.Time
 	changed  time.Time // of the last change by the control loop
-	worsened int       // measurements in a row over the goal with all throttled
+	overGoal int       // measurements in a row over the goal with all throttled
 	evicted  time.Time
 }
 
@@ -75,8 +75,8 @@
 	return sum
 }
 
-// look takes the attempts of a report over.
-func (h *host) look(now time.Time, r *sched.WorkerReport, kindOf func(sched.TaskID) string) {
+// takeReport takes the attempts of a report over.
+func (h *host) takeReport(now time.Time, r *sched.WorkerReport, kindOf func(sched.TaskID) string) {
 	seen := make(map[attemptKey]bool, len(r.Attempts))
 	for _, a := range r.Attempts {
 		if a.State != sched.AttemptRunning {
@@ -100,7 +100,7 @@
 			delete(h.tasks, k)
 		}
 	}
-	h.see(view{now, h.runs()})
+	h.record(view{now, h.runs()})
 }
 
 // runs are the shares of what a report showed.
@@ -114,7 +114,7 @@
 	return sum
 }
 
-func (h *host) see(v view) {
+func (h *host) record(v view) {
 	h.views = append(h.views, v)
 	if len(h.views) > historyKept {
 		h.views = h.views[1:]
--- a/pkg/coloc/model.go
+++ b/pkg/coloc/model.go
@@ -66,13 +66,13 @@
 func (m *Model) Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string) {
 	h := m.host(worker)
 	h.tasks[attemptKey{t, a}] = &running{kind: kind, share: 1, pending: true, since: now}
-	h.see(view{at: now})
+	h.record(view{at: now})
 }
 
 // Observe takes a worker's report.
 func (m *Model) Observe(now time.Time, r *sched.WorkerReport) {
 	h := m.host(r.Worker)
-	h.look(now, r, m.options.KindOf)
+	h.takeReport(now, r, m.options.KindOf)
 	if !r.MeasuredAt.After(h.measured) {
 		return
 	}
