Forget workers that are gone in the interference model

Cause: Model.Forget had no caller, so every replaced worker stayed in memory. Change: workers that no report came from for an hour are swept out; Forget is removed.

--- a/pkg/coloc/host.go
+++ b/pkg/coloc/host.go
@@ -28,6 +28,7 @@
 	tasks    map[attemptKey]*running
 	services map[string]*local
 	views    []view // oldest first
+	reported time.Time
 	measured time.Time
 	changed  time.Time // of the last change by the control loop
 	overGoal int       // measurements in a row over the goal with all throttled
--- a/pkg/coloc/model.go
+++ b/pkg/coloc/model.go
@@ -31,6 +31,7 @@
 	hosts   map[sched.InstanceID]*host
 	// fresh lists the workers with a measurement that Actions has not seen.
 	fresh map[sched.InstanceID]bool
+	swept time.Time
 }
 
 var (
@@ -55,23 +56,42 @@
 	return h
 }
 
-// Forget drops a worker that is no longer part of the fleet.
-func (m *Model) Forget(id sched.InstanceID) {
-	delete(m.hosts, id)
-	delete(m.fresh, id)
+// Workers that no report came from for hostKept are forgotten; sweepEvery
+// bounds the cost of that.
+const (
+	hostKept   = time.Hour
+	sweepEvery = 10 * time.Minute
+)
+
+func (m *Model) sweep(now time.Time) {
+	if now.Sub(m.swept) < sweepEvery {
+		return
+	}
+	m.swept = now
+	for id, h := range m.hosts {
+		if now.Sub(h.reported) > hostKept {
+			delete(m.hosts, id)
+			delete(m.fresh, id)
+		}
+	}
 }
 
 // Placed notes that a task was given to a worker, before a report shows it. It
 // keeps several placements of one moment from using the same headroom.
 func (m *Model) Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string) {
-	h := m.host(worker)
+	h := m.hosts[worker]
+	if h == nil {
+		return // nothing is known of its services
+	}
 	h.tasks[attemptKey{t, a}] = &running{kind: kind, share: 1, pending: true, since: now}
 	h.record(view{at: now})
 }
 
 // Observe takes a worker's report.
 func (m *Model) Observe(now time.Time, r *sched.WorkerReport) {
+	m.sweep(now)
 	h := m.host(r.Worker)
+	h.reported = now
 	h.takeReport(now, r, m.options.KindOf)
 	if !r.MeasuredAt.After(h.measured) {
 		return
--- a/pkg/coloc/model_test.go
+++ b/pkg/coloc/model_test.go
@@ -232,6 +232,23 @@
 	}
 }
 
+// Guards against memory that grows with every worker that is replaced.
+func TestWorkersThatAreGoneAreForgotten(t *testing.T) {
+	i := is.New(t)
+	m := New(Options{})
+	now := start
+	for n := range 1000 {
+		now = now.Add(time.Minute)
+		m.Observe(now, &sched.WorkerReport{
+			Worker: sched.InstanceID(fmt.Sprintf("w%d", n)), MeasuredAt: now,
+			Services: []sched.ServiceReport{{Service: "s", Load: 0.5, P99: aloneTime}},
+		})
+	}
+	i.True(len(m.hosts) <= int((hostKept+sweepEvery)/time.Minute)+1)
+	m.Actions(now) // must not look at a worker that is gone
+	i.Equal(len(m.fresh), 0)
+}
+
 // Guards against scores that are lost when another instance becomes planner.
 func TestSavedScoresAreLoaded(t *testing.T) {
 	i := is.New(t)
