--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -42,19 +42,24 @@
 	}
 	c.plan.planner = plan.New(plan.Options{
 		Instance: c.d.ID, Incarnation: c.d.Incarnation, Seed: c.d.Seed, Settings: c.settings,
-		Interference: coloc.New(coloc.Options{Goal: c.latencyGoal}), Suspects: suspct.New(),
+		Interference: coloc.New(coloc.Options{Goal: c.latencyGoal, KindOf: c.kindOf}),
+		Suspects:     suspct.New(),
 	})
 }
 
-// latencyGoal returns the 99th percentile that the configuration in force asks
-// of a service, 0 if it asks for none. The planner calls it in the actor.
+// latencyGoal is the goal of a service in the configuration in force, 0 for an
+// unknown one.
 func (c *control) latencyGoal(service string) time.Duration {
-	for _, s := range c.settings.Services {
-		if s.Name == service {
-			return s.LatencyGoal
-		}
+	s, _ := c.rules.Service(service)
+	return s.LatencyGoal
+}
+
+// kindOf is the kind of a task in the replayed state.
+func (c *control) kindOf(id sched.TaskID) string {
+	if t, known := c.plan.planner.Ledger().Task(id); known {
+		return t.Task.Kind
 	}
-	return 0
+	return ""
 }
 
 // step gives the planner an input. Without a configuration nothing is planned.
@@ -201,6 +206,7 @@
 	switch {
 	case m.err == nil:
 		c.d.meters.records.Add(len(m.page.Records))
+		c.d.taskEvents(m.page.Records)
 		c.step(now, plan.RecordsRead{Began: m.began, Page: m.page})
 	case errors.As(m.err, &trimmed):
 		c.step(now, plan.Trimmed{Earliest: trimmed.Earliest})
