--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -19,7 +20,6 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/member"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/quota"
-	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/usage"
 	"github.com/parsleybarrow/parsleybarrow/pkg/versn"
@@ -69,13 +69,17 @@
 	m.apply(c)
 }
 
-// ask runs f in the actor.
+// ask runs f in the actor, unless its caller has stopped to wait before.
 type ask struct {
-	f    func(*control)
-	done chan struct{}
+	f     func(*control)
+	done  chan struct{}
+	taken *atomic.Bool
 }
 
 func (a ask) apply(c *control) {
+	if !a.taken.CompareAndSwap(false, true) {
+		return
+	}
 	defer close(a.done)
 	a.f(c)
 }
@@ -86,16 +90,23 @@
 // ask runs f in the control actor and waits until it has run. It must not be
 // used by the request path.
 func (d *Daemon) ask(c context.Context, f func(*control)) error {
-	a := ask{f: f, done: make(chan struct{})}
+	a := ask{f: f, done: make(chan struct{}), taken: &atomic.Bool{}}
 	d.post(a)
+	var err error
 	select {
 	case <-a.done:
 		return nil
 	case <-c.Done():
-		return c.Err()
+		err = c.Err()
 	case <-d.killed:
-		return errStopped
+		err = errStopped
+	}
+	if a.taken.CompareAndSwap(false, true) {
+		return err
 	}
+	// f runs at this moment and writes to what its caller reads.
+	<-a.done
+	return nil
 }
 
 // post sends a message to the control actor without waiting.
@@ -116,6 +127,7 @@
 		listUp:   true,
 		plan: planning{
 			ledger: ledger.New(), tickets: map[uint64]chan plan.Reply{}, peers: map[sched.InstanceID]plan.PeerTerm{},
+			startedAt: now,
 		},
 	}
 	// The actor system logs its own start and stop, which are no changes of
@@ -130,11 +142,6 @@
 	d.system.Shutdown()
 }
 
-// planner is the instance that should plan for a data centre.
-func planner(v *member.View, d sched.DataCentre) (sched.InstanceID, bool) {
-	return rendez.Planner(d).Owner(v.Candidates(d))
-}
-
 // publish makes a new view for the traffic goroutines.
 func (c *control) publish(now time.Time) {
 	old := c.d.view.Load()
@@ -151,7 +158,7 @@
 		logUp:    c.logUp,
 		listUp:   c.listUp,
 	}
-	v.planner, _ = planner(v.members, c.d.DataCentre)
+	v.planner = c.planner(v.members)
 	v.ready, v.reason = c.readiness(now)
 	v.queued, v.placed = c.plan.queued, c.plan.placed
 	c.d.view.Store(v)
--- a/pkg/plan/input.go
+++ b/pkg/plan/input.go
@@ -141,6 +141,13 @@
 	Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string)
 }
 
+// Watcher is implemented by an Interference that wants to know of placements
+// before a report shows them, and of workers that left.
+type Watcher interface {
+	Placed(now time.Time, worker sched.InstanceID, t sched.TaskID, a sched.Attempt, kind string)
+	Forget(worker sched.InstanceID)
+}
+
 // Action throttles or evicts an attempt.
 type Action struct {
 	Worker sched.InstanceID
@@ -164,6 +171,12 @@
 	Counts(now time.Time, worker sched.InstanceID, task sched.TaskID) bool
 }
 
+// Prober is implemented by Suspects that limit the tasks of a worker which is
+// being probed.
+type Prober interface {
+	Placed(now time.Time, worker sched.InstanceID)
+}
+
 // Finder finds workers with room; place.Index implements it.
 type Finder interface {
 	Set(id sched.InstanceID, rack string, free sched.Resources)
