Let fresh readers and trimmed ones find their place sooner

Cause: more runs of TestFaults found two faults.

Change: a fresh instance that still searches after 3 s asks a peer for a copy. A reader behind a trimmed gap continues from the version in force if that reaches as far. TestGapWithTheNewestVersionAsksForACopy keeps the fault found earlier.

--- a/pkg/versn/copy.go
+++ b/pkg/versn/copy.go
@@ -31,6 +31,8 @@
 	sent     map[sched.InstanceID]sentNews
 	// logAt is the newest successful read of the log, or the first use.
 	logAt time.Time
+	// startedAt is the time of the first use.
+	startedAt time.Time
 	// logSince is the begin of the reads without a silence in between.
 	logSince time.Time
 	ready    bool
@@ -38,8 +40,8 @@
 
 // silent tells whether the log has not answered for a while.
 func (p *peerState) silent(now time.Time) bool {
-	if p.logAt.IsZero() {
-		p.logAt = now // a fresh instance asks the log first
+	if p.startedAt.IsZero() {
+		p.startedAt, p.logAt = now, now // a fresh instance asks the log first
 	}
 	return now.Sub(p.logAt) > logSilence
 }
@@ -87,7 +89,7 @@
 
 // LogReached records a successful read of the log.
 func (r *Replay) LogReached(now time.Time) {
-	if r.peers.logSince.IsZero() || r.peers.silent(now) {
+	if r.peers.silent(now) || r.peers.logSince.IsZero() {
 		r.peers.logSince = now
 	}
 	r.peers.logAt = now
@@ -100,8 +102,11 @@
 	// Without an anchor the log tells nothing until the next snapshot; the copy
 	// of a peer that has read on is an anchor also if its version is known.
 	lost := !r.anchored && r.Next() >= r.end
+	silent := r.peers.silent(now)
+	// The search for a snapshot can take many reads.
+	searching := r.force.number == 0 && now.Sub(r.peers.startedAt) > logSilence
 	newer := v > r.force.number || lost && v > 0 && v == r.force.number
-	if !newer || !r.peers.silent(now) && !lost || now.Sub(r.peers.askedAt) < r.copyPause() {
+	if !newer || !silent && !lost && !searching || now.Sub(r.peers.askedAt) < r.copyPause() {
 		return false
 	}
 	r.peers.askedAt = now
--- a/pkg/versn/replay.go
+++ b/pkg/versn/replay.go
@@ -115,6 +115,9 @@
 	r.anchored = false
 	r.pending = nil
 	r.start = from
+	if r.force.number > 0 && r.force.asOf+1 >= from {
+		r.anchor(r.force) // a copy from a peer reaches as far
+	}
 }
 
 // Page takes the result of a read from Next. It returns true if another
--- a/pkg/versn/replay_test.go
+++ b/pkg/versn/replay_test.go
@@ -193,3 +193,35 @@
 	grow(s, r, 300)
 	i.True(r.SnapshotDue(epoch.Add(time.Hour), true))
 }
+
+// Guards against an instance that lost its place in a trimmed log and never
+// finds one again since it knows the newest version already. TestFaults found
+// it.
+func TestGapWithTheNewestVersionAsksForACopy(t *testing.T) {
+	i := is.New(t)
+	s, writer, cut := &stream{}, newReplay("writer"), newReplay("cut")
+	grow(s, writer, 3)
+	s.read(epoch, cut)
+	newest := grow(s, writer, 3)
+	i.True(cut.TakeNews(sched.ConfigNews{AsOf: newest, Steps: news(s, 3, newest)}))
+	s.append(versn.Entry{Patch: &versn.Patch{ID: "conflict"}})
+	s.append(versn.Entry{Patch: &versn.Patch{ID: "conflict again"}})
+	s.read(epoch, writer)
+	s.earliest = newest + 2
+	s.read(epoch, cut)
+	i.True(!cut.CaughtUp())
+	i.True(cut.WantCopy(epoch, newest))
+	i.True(!cut.TakeCopy(writer.Copy())) // the same version, but an anchor
+	i.True(cut.CaughtUp())
+	i.True(!cut.WantCopy(epoch.Add(time.Hour), newest))
+}
+
+// news returns the changes after a version up to another.
+func news(s *stream, after, to sched.Offset) []sched.ConfigStep {
+	var steps []sched.ConfigStep
+	for o := after + 1; o <= to; o++ {
+		e, _ := codec.DecodeConfig(s.records[o-1].Data)
+		steps = append(steps, sched.ConfigStep{Base: o - 1, Version: o, Changes: e.Patch.Changes, Hash: e.Patch.Hash})
+	}
+	return steps
+}
--- a/pkg/versn/snapshot.go
+++ b/pkg/versn/snapshot.go
@@ -12,6 +12,10 @@
 	// covers an owner that can't reach the log.
 	ownerPart = 0.5
 	otherPart = 0.75
+	// otherDelay is how long other instances leave it to the responsible one
+	// after the log became reachable again. After an outage all find the
+	// snapshot overdue, and everyone would have to read all of theirs.
+	otherDelay = 10 * time.Second
 	// snapshotPause is the time between two snapshots of one instance, so that
 	// it doesn't repeat one whose record it has not read back.
 	snapshotPause = 15 * time.Second
@@ -42,6 +46,9 @@
 	if !r.CaughtUp() || r.log.number == 0 || now.Sub(r.snapshot.madeAt) < snapshotPause {
 		return false
 	}
+	if !owner && now.Sub(r.peers.logSince) < otherDelay {
+		return false
+	}
 	part, tail := ownerPart, sched.Offset(snapshotEvery)
 	if !owner {
 		part, tail = otherPart, 2*snapshotEvery
