Give each task one home data centre

Cause: a submission without a data centre went to the stream of whatever instance took it. A repeat through another data centre was a second task with the same id and ran twice; cancellations only worked in the home. Ruled out: the ledger, which is idempotent within its stream. Change: the home follows from the id by rendezvous hashing over the configured data centres, or is named; cancellations go to the home; answers name it. Conclusion: a data centre in the configuration must have instances, since tasks may have it as their home; adding one moves the ids that fall to it, so a repeat across such a change has to name its data centre.

--- a/internal/process/admin/message.go
+++ b/internal/process/admin/message.go
@@ -72,7 +72,8 @@
 	Kind    string `json:"kind"`
 	Partner string `json:"partner"`
 	Team    string `json:"team,omitempty"`
-	// DataCentre is the own data centre of the instance if empty.
+	// DataCentre is the task's home. If it is empty, the home follows from the
+	// id. A repeated submission must name the same one.
 	DataCentre string `json:"dataCentre,omitempty"`
 	// RunTime is a duration such as 90s; the kind's if empty.
 	RunTime string `json:"runTime,omitempty"`
@@ -87,6 +88,8 @@
 	State   string `json:"state,omitempty"`
 	Attempt int    `json:"attempt,omitempty"`
 	Worker  string `json:"worker,omitempty"`
+	// DataCentre is the home of the task, for submissions and cancellations.
+	DataCentre string `json:"dataCentre,omitempty"`
 }
 
 // FromEvent maps an event of the time line.
--- a/internal/process/cli/ask.go
+++ b/internal/process/cli/ask.go
@@ -78,7 +78,7 @@
 	Partner    string  `required:"" help:"Partner that the task runs for."`
 	Team       string  `help:"Team of the partner."`
 	ID         string  `help:"Id of the task; a new one if not set. Submitting an id again is safe."`
-	DataCentre string  `help:"Data centre to run in; that of the instance if not set."`
+	DataCentre string  `help:"Data centre to run in; if not set it follows from the id. A repeat must name the same one."`
 	RunTime    string  `help:"Expected run time such as 90s; that of the kind if not set."`
 }
 
@@ -100,14 +100,15 @@
 
 // cancelCmd cancels a task.
 type cancelCmd struct {
-	ID      string  `arg:"" help:"Id of the task."`
-	Callers address `default:"127.0.0.1:7701" help:"Address for callers of an instance in the task's data centre."`
+	ID         string  `arg:"" help:"Id of the task."`
+	Callers    address `default:"127.0.0.1:7701" help:"Address for callers of an instance."`
+	DataCentre string  `help:"Data centre that the submission named, if it named one."`
 }
 
 // Run implements the command.
 func (x *cancelCmd) Run(c context.Context, p *Program) error {
 	var a admin.TaskAnswer
-	if err := client(x.Callers).Delete(c, "/tasks/"+url.PathEscape(x.ID), &a); err != nil {
+	if err := client(x.Callers).Delete(c, "/tasks/"+url.PathEscape(x.ID)+"?dataCentre="+url.QueryEscape(x.DataCentre), &a); err != nil {
 		return refused(err)
 	}
 	p.printf("%s %s\n", a.Name, x.ID)
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -1,11 +1,13 @@
 package daemon_test
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/daemon"
 	"github.com/parsleybarrow/parsleybarrow/internal/standin/logsvc"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -114,3 +116,34 @@
 		i.Equal(strings.Count(s, `"kind":"`+kind+`"`), 1)
 	}
 }
+
+// Guards against a task that runs in two data centres because its repeated
+// submission reached an instance of another one, and against a cancellation
+// that only the home data centre takes.
+func TestSameTaskThroughTwoDataCentres(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.addWorker("worker2", "dc2")
+	r.apply(strings.Replace(rigConfig, "[dc1]", "[dc1, dc2]", 1))
+	a := r.start("a", 1)
+	b := r.start("b", 1, func(d *daemon.Daemon) { d.DataCentre = "dc2" })
+	r.ready(a)
+	r.ready(b)
+	ids := make([]string, 12)
+	for n := range ids {
+		ids[n] = newID()
+		r.until("both take the task", func() bool { return a.submit(ids[n]) == 202 && b.submit(ids[n]) == 202 })
+	}
+	r.until("all runs", func() bool { return r.workers.Observer().Counts().Finished >= len(ids) })
+	for _, id := range ids {
+		i.Equal(r.workers.Observer().Finished(sched.TaskID(id)), 1)
+		for _, x := range []*instance{a, b} {
+			q, err := http.NewRequest(http.MethodDelete, "http://"+x.Callers.Addr().String()+"/tasks/"+id, nil)
+			i.NoErr(err)
+			answer, err := http.DefaultClient.Do(q)
+			i.NoErr(err)
+			i.True(answer.StatusCode == http.StatusAccepted || answer.StatusCode == http.StatusConflict) // taken, or the task has ended
+			i.NoErr(answer.Body.Close())
+		}
+	}
+}
--- a/internal/process/daemon/scribe.go
+++ b/internal/process/daemon/scribe.go
@@ -17,6 +17,8 @@
 	// scribePause spaces the appends of one stream: with 9 instances this is
 	// 45 of the 120 appends a second for task records.
 	scribePause = 200 * time.Millisecond
+	// maxWaiting bounds the entries that wait for their append, 50 batches.
+	maxWaiting = 50 * scribeBatch
 	// readBackPause and readBackTries bound the search for a record whose
 	// acknowledgement was lost. An append may take effect late.
 	readBackPause = 100 * time.Millisecond
@@ -56,6 +58,10 @@
 	s := v.(*scribe)
 	x := submission{e, make(chan error, 1)}
 	s.mu.Lock()
+	if len(s.waiting) >= maxWaiting {
+		s.mu.Unlock()
+		return refuse(sched.CodeOverloaded, "%d entries wait for %s", maxWaiting, s.stream)
+	}
 	s.waiting = append(s.waiting, x)
 	if !s.running {
 		s.running = true
--- a/internal/process/daemon/tasks.go
+++ b/internal/process/daemon/tasks.go
@@ -12,6 +12,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/admin"
 	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rendez"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -57,40 +58,58 @@
 func (d *Daemon) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	c, cancel := context.WithTimeout(r.Context(), submitTime)
 	defer cancel()
-	id, err := d.submitTask(c, r)
+	id, centre, err := d.submitTask(c, r)
 	code := codeOf(err, sched.CodeAccepted)
 	d.meters.submissions[submissionResults[code.Outcome()]].Inc()
-	d.answerTask(w, code, err, admin.TaskAnswer{Task: string(id)})
+	d.answerTask(w, code, err, admin.TaskAnswer{Task: string(id), DataCentre: string(centre)})
 }
 
 // submitTask checks a submission and appends it.
-func (d *Daemon) submitTask(c context.Context, r *http.Request) (sched.TaskID, error) {
+func (d *Daemon) submitTask(c context.Context, r *http.Request) (sched.TaskID, sched.DataCentre, error) {
 	var s admin.Submission
 	dec := json.NewDecoder(r.Body)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
-			return "", refuse(sched.CodeTooLarge, "the body is larger than %d bytes", large.Limit)
+			return "", "", refuse(sched.CodeTooLarge, "the body is larger than %d bytes", large.Limit)
 		}
-		return "", refuse(sched.CodeBadRequest, "body: %v", err)
+		return "", "", refuse(sched.CodeBadRequest, "body: %v", err)
 	}
 	v := d.view.Load()
 	t, err := d.task(v, s)
 	if err != nil {
-		return t.ID, err
+		return t.ID, "", err
 	}
-	centre := sched.DataCentre(s.DataCentre)
-	if centre == "" {
-		centre = d.DataCentre
-	}
-	if centre != d.DataCentre && v.rules.Region(centre) == "" {
-		return t.ID, refuse(sched.CodeBadRequest, "dataCentre: %q is not in the configuration in force", s.DataCentre)
+	centre, err := d.home(v, t.ID, s.DataCentre)
+	if err != nil {
+		return t.ID, centre, err
 	}
 	if centre == d.DataCentre {
-		return t.ID, d.request(c, func(n uint64) plan.Input { return plan.Submitted{Ticket: n, Task: t} })
+		return t.ID, centre, d.request(c, func(n uint64) plan.Input { return plan.Submitted{Ticket: n, Task: t} })
+	}
+	return t.ID, centre, d.submit(c, centre, sched.TaskEntry{Kind: sched.EntryAccepted, Task: t})
+}
+
+// home is the data centre whose stream holds a task: the named one, or one that
+// follows from the id, so that a repeated submission reaches the same stream
+// through any instance. Ids are only compared within one stream.
+func (d *Daemon) home(v *view, id sched.TaskID, named string) (sched.DataCentre, error) {
+	if v.rules == nil {
+		return "", refuse(sched.CodeNotReady, "%s", reasonNoConfig)
+	}
+	if named == "" {
+		centre, _ := rendez.TaskHome(id).DataCentre(v.rules.AllDataCentres())
+		if centre == "" {
+			centre = d.DataCentre
+		}
+		return centre, nil
 	}
-	return t.ID, d.submit(c, centre, sched.TaskEntry{Kind: sched.EntryAccepted, Task: t})
+	centre := sched.DataCentre(named)
+	if centre != d.DataCentre && v.rules.Region(centre) == "" {
+		return "", refuse(sched.CodeBadRequest, "dataCentre: %q is not in the configuration in force", named)
+	}
+	return centre, nil
 }
 
 // task builds the task that a submission declares.
@@ -157,18 +176,30 @@
 	if err != nil {
 		return a, refuse(sched.CodeNotReady, "%v", err)
 	}
-	if !known {
-		return a, refuse(sched.CodeUnknownTask, "the data centre %s has no task %q", d.DataCentre, id)
+	if known {
+		return a, nil
+	}
+	home, err := d.home(d.view.Load(), id, "")
+	if err != nil {
+		return a, err
 	}
-	return a, nil
+	return a, refuse(sched.CodeUnknownTask,
+		"the data centre %s has no task %q; its home, if none was named, is %s", d.DataCentre, id, home)
 }
 
 func (d *Daemon) serveCancel(w http.ResponseWriter, r *http.Request) {
 	c, cancel := context.WithTimeout(r.Context(), submitTime)
 	defer cancel()
 	id := sched.TaskID(r.PathValue("id"))
-	a := admin.TaskAnswer{Task: string(id)}
-	err := d.request(c, func(n uint64) plan.Input { return plan.CancelRequested{Ticket: n, Task: id} })
+	centre, err := d.home(d.view.Load(), id, r.URL.Query().Get("dataCentre"))
+	switch {
+	case err != nil:
+	case centre == d.DataCentre:
+		err = d.request(c, func(n uint64) plan.Input { return plan.CancelRequested{Ticket: n, Task: id} })
+	default:
+		err = d.submit(c, centre, sched.TaskEntry{Kind: sched.EntryCancelled, TaskID: id})
+	}
+	a := admin.TaskAnswer{Task: string(id), DataCentre: string(centre)}
 	d.answerTask(w, codeOf(err, sched.CodeAccepted), err, a)
 }
 
--- a/internal/version/rules/rules.go
+++ b/internal/version/rules/rules.go
@@ -4,6 +4,9 @@
 package rules
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -101,3 +104,8 @@
 // DataCentres returns the data centres of a region in the order of the
 // settings. The caller must not change the slice.
 func (r *Rules) DataCentres(n sched.Region) []sched.DataCentre { return r.centres[n] }
+
+// AllDataCentres returns the data centres of all regions, sorted by name.
+func (r *Rules) AllDataCentres() []sched.DataCentre {
+	return slices.Sorted(maps.Keys(r.regions))
+}
--- a/pkg/rendez/rendez.go
+++ b/pkg/rendez/rendez.go
@@ -24,6 +24,20 @@
 // SnapshotWriter is the responsibility of writing the snapshots of a stream.
 func SnapshotWriter(stream string) Key { return Key("snapshot/" + stream) }
 
+// TaskHome is the choice of a data centre for a task.
+func TaskHome(t sched.TaskID) Key { return Key("task/" + t) }
+
+// DataCentre returns the data centre that the key falls to, or false if there
+// is none. Adding a data centre moves only the keys that fall to it.
+func (k Key) DataCentre(candidates []sched.DataCentre) (sched.DataCentre, bool) {
+	names := make([]sched.InstanceID, len(candidates))
+	for i, c := range candidates {
+		names[i] = sched.InstanceID(c)
+	}
+	owner, found := k.Owner(names)
+	return sched.DataCentre(owner), found
+}
+
 // Owner returns the candidate that is responsible for the key, or false if
 // there is none.
 func (k Key) Owner(candidates []sched.InstanceID) (sched.InstanceID, bool) {
