--- a/internal/process/cli/soak.go
+++ b/internal/process/cli/soak.go
@@ -66,6 +66,9 @@
 		return err
 	}
 	p.printf("%s\n", line)
+	if r.Answered == 0 || r.TasksDone == 0 {
+		return failf(sched.ExitIncomplete, "%d answers and %d ended tasks show nothing", r.Answered, r.TasksDone)
+	}
 	if r.Doubled != 0 || r.Overcommitted != 0 || r.MixedUp != 0 || r.Accepted != r.Answered+r.Failed+r.Unknown {
 		return failf(sched.ExitInvariant, "%d doubled, %d overcommitted, %d mixed up, %d accepted",
 			r.Doubled, r.Overcommitted, r.MixedUp, r.Accepted)
