Treat a slow log as unavailable and date failed reads by their begin

While reads of the log took longer than half a lease the planner counted as stale all the time, renewed nothing, and every running task was stopped: TestLogTroubleKeepsTasksRunning saw 32 starts of 16 tasks. A read that takes longer than a quarter of a lease now counts as failed, which keeps leases going as in an outage. After a pause the outstanding read no longer counts, and ReadFailed carries the begin of its read, so that a failure from before a pause does not pass for a look at the log after it. The daemon passes the begin on.

--- a/internal/bench/batch/host.go
+++ b/internal/bench/batch/host.go
@@ -183,7 +183,7 @@
 	began := s.now.Add(h.offset)
 	s.After(s.config.Latency+s.LogDelay/2, func() {
 		if s.LogDown || h.cut {
-			h.answer(s.config.Latency, plan.ReadFailed{})
+			h.answer(s.config.Latency, plan.ReadFailed{Began: began})
 			return
 		}
 		page, ok := s.read(h.planner.Next())
--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -211,7 +211,7 @@
 	case errors.As(m.err, &trimmed):
 		c.step(now, plan.Trimmed{Earliest: trimmed.Earliest})
 	default:
-		c.step(now, plan.ReadFailed{})
+		c.step(now, plan.ReadFailed{Began: m.began})
 	}
 }
 
--- a/pkg/lease/book.go
+++ b/pkg/lease/book.go
@@ -106,10 +106,11 @@
 	}
 }
 
-// LogFailed notes a read of the log that failed at the given time.
-func (b *Book) LogFailed(now time.Time) {
-	if now.After(b.failed) {
-		b.failed = now
+// LogFailed notes a failed read of the log that began at the given time, or
+// one that is outstanding for too long at that time.
+func (b *Book) LogFailed(began time.Time) {
+	if began.After(b.failed) {
+		b.failed = began
 	}
 }
 
--- a/pkg/plan/input.go
+++ b/pkg/plan/input.go
@@ -20,8 +20,10 @@
 	Page  sched.Page
 }
 
-// ReadFailed reports that the log could not be read.
-type ReadFailed struct{}
+// ReadFailed reports that the log could not be read. Began is the time just
+// before the read: a failure that a pause delays says nothing about the log
+// after the pause.
+type ReadFailed struct{ Began time.Time }
 
 // Trimmed reports that the record at Planner.Next is no longer retained.
 type Trimmed struct{ Earliest sched.Offset }
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -137,6 +137,10 @@
 // Step applies one input at the given time and returns what has to be done.
 // Times must not decrease from step to step.
 func (p *Planner) Step(now time.Time, in Input) Output {
+	if now.Sub(p.now) >= p.limits().Lease/slowRead {
+		// After a pause the read that was outstanding doesn't count.
+		p.reading, p.urgent = time.Time{}, true
+	}
 	p.now = now
 	p.out = Output{}
 	in.apply(p)
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -80,3 +80,36 @@
 	is.Equal(u.Runs, int64(n))
 	is.Equal(u.ProcessorMillis, int64(n*20_000*4))
 }
+
+// Guards against tasks that are stopped since a slow or unreachable log keeps
+// the planner from renewing leases.
+func TestLogTroubleKeepsTasksRunning(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		trouble func(s *batch.Sim)
+	}{
+		{"slow", func(s *batch.Sim) { s.LogDelay = 8 * time.Second }},
+		{"very slow", func(s *batch.Sim) { s.LogDelay = time.Minute }},
+		{"down", func(s *batch.Sim) { s.LogDown = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := config(1, 3, 4)
+			cfg.Truth = truth(4 * time.Minute)
+			s := batch.New(cfg)
+			s.Run(2 * time.Second)
+			const n = 16
+			for i := range n {
+				s.Submit(i, task(fmt.Sprintf("task-%d", i), 4000))
+			}
+			s.Run(3 * time.Second)
+			is.Equal(s.Observer.Starts, n)
+			c.trouble(s)
+			s.Run(3 * time.Minute)
+			s.Heal()
+			s.Run(5 * time.Minute)
+			is.Equal(s.Observer.Starts, n) // none was stopped and started again
+			is.Equal(s.Ledger().Usage("kooperatiba", s.Now()).Runs, int64(n))
+		})
+	}
+}
--- a/pkg/plan/stream.go
+++ b/pkg/plan/stream.go
@@ -12,6 +12,10 @@
 // entriesPerRecord bounds the size of a record to some 200 KB.
 const entriesPerRecord = 2000
 
+// slowRead is the number of reads per lease below which the log counts as
+// unavailable.
+const slowRead = 4
+
 // fact identifies an entry that is on its way to the log.
 type fact struct {
 	kind    sched.EntryKind
@@ -52,8 +56,16 @@
 
 // askToRead asks for a read if one is due and none is outstanding.
 func (p *Planner) askToRead() {
-	if !p.reading.IsZero() && p.now.Sub(p.reading) < readLimit {
-		return
+	if !p.reading.IsZero() {
+		waited := p.now.Sub(p.reading)
+		if waited >= p.limits().Lease/slowRead {
+			// A slow log counts as one that can't be reached; otherwise the
+			// planner would stop to renew leases.
+			p.book.LogFailed(p.now)
+		}
+		if waited < readLimit {
+			return
+		}
 	}
 	gap := p.now.Sub(p.lastRead)
 	if p.urgent || gap >= readGap || (p.book.Term() != 0 && p.book.Stale(p.now) && gap > 0) {
@@ -118,7 +130,7 @@
 	p.reading = time.Time{}
 	p.lastRead = p.now
 	p.caughtUp = false
-	p.book.LogFailed(p.now)
+	p.book.LogFailed(i.Began)
 }
 
 func (i Trimmed) apply(p *Planner) {
--- a/pkg/plan/submit.go
+++ b/pkg/plan/submit.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// askedLimit bounds the memory of requests that wait for an append.
+const askedLimit = 10_000
+
 // takesRequests refuses what can't be recorded now.
 func (p *Planner) takesRequests(r request) bool {
 	switch {
@@ -74,6 +77,8 @@
 		p.reply(r, sched.CodeLogUnavailable, "the log can't be reached; nothing was recorded")
 	case !p.ledger.Ready():
 		p.reply(r, sched.CodeNotReady, "the task stream is not read yet")
+	case len(p.asked) >= askedLimit:
+		p.reply(r, sched.CodeOverloaded, "too many requests wait for the log")
 	default:
 		return true
 	}
