Measure the memory of the planner and the cost of a cancellation

The scale scenario submits in chunks and checks that all tasks run, since the limit of waiting requests refused most of 94,000 submissions at once.

--- a/internal/bench/batch/control.go
+++ b/internal/bench/batch/control.go
@@ -30,6 +30,7 @@
 		h.leave()
 		h.down = true
 		h.incarnation++
+		h.planner = nil
 	}
 }
 
--- a/internal/bench/batch/host.go
+++ b/internal/bench/batch/host.go
@@ -181,12 +181,13 @@
 func (h *host) read() {
 	s := h.sim
 	began := s.now.Add(h.offset)
+	from := h.planner.Next()
 	s.After(s.config.Latency+s.LogDelay/2, func() {
 		if s.LogDown || h.cut {
 			h.answer(s.config.Latency, plan.ReadFailed{Began: began})
 			return
 		}
-		page, ok := s.read(h.planner.Next())
+		page, ok := s.read(from)
 		if !ok {
 			h.answer(s.config.Latency, plan.Trimmed{Earliest: page.Earliest})
 			return
--- a/internal/bench/batch/scale.go
+++ b/internal/bench/batch/scale.go
@@ -34,6 +34,10 @@
 	Violations []string
 }
 
+// submitChunk is the number of tasks that are submitted in a second, less than
+// the planner lets wait for an append.
+const submitChunk = 5000
+
 // Prepare starts the background tasks and returns the simulation.
 func (c Scale) Prepare(seed uint64) *Sim {
 	const perTask = 500 // thousandths of a processor
@@ -60,6 +64,9 @@
 	})
 	s.Run(2 * time.Second)
 	for i := range c.Running {
+		if i%submitChunk == 0 {
+			s.Run(time.Second)
+		}
 		s.Submit(0, sched.Task{
 			ID: sched.TaskID(fmt.Sprintf("task-%06d", i)), Kind: "sweep", Partner: "kooperatiba",
 			Team: fmt.Sprintf("team-%d", i%170), Urgency: sched.UrgencyBackground, RunTime: time.Hour,
--- a/internal/bench/batch_memory_test.go
+++ b/internal/bench/batch_memory_test.go
@@ -9,28 +9,45 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
 )
 
-// BenchmarkLedgerMemory reports the heap of a replica at the target size.
-func BenchmarkLedgerMemory(b *testing.B) {
-	s := batch.Scale{Workers: 3900, Running: 94_000}.Prepare(batchSeed)
-	heap := func() float64 {
-		var m runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&m)
-		return float64(m.HeapAlloc) / (1 << 20)
-	}
-	for b.Loop() {
-		before := heap()
-		l := ledger.New()
-		for _, r := range s.Log() {
-			record, err := codec.DecodeTaskRecord(r.Data)
-			if err != nil {
-				b.Fatal(err)
-			}
-			if _, err := l.Apply(r.Offset, &record); err != nil {
-				b.Fatal(err)
+// heapMiB returns the heap that is in use.
+func heapMiB() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // frees what pools held in the first cycle
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
+
+// BenchmarkMemory reports the heap of a replica, and of the acting planner
+// with its replica, at the target size.
+func BenchmarkMemory(b *testing.B) {
+	prepare := func() *batch.Sim { return batch.Scale{Workers: 3900, Running: 94_000}.Prepare(batchSeed) }
+	b.Run("replica", func(b *testing.B) {
+		s := prepare()
+		for b.Loop() {
+			before := heapMiB()
+			l := ledger.New()
+			for _, r := range s.Log() {
+				record, err := codec.DecodeTaskRecord(r.Data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := l.Apply(r.Offset, &record); err != nil {
+					b.Fatal(err)
+				}
 			}
+			b.ReportMetric(heapMiB()-before, "MiB")
+			runtime.KeepAlive(l)
+			runtime.KeepAlive(s)
+		}
+	})
+	b.Run("planner", func(b *testing.B) {
+		for b.Loop() {
+			s := prepare()
+			before := heapMiB()
+			s.CrashHost(0)
+			b.ReportMetric(before-heapMiB(), "MiB")
+			runtime.KeepAlive(s)
 		}
-		b.ReportMetric(heap()-before, "MiB")
-		runtime.KeepAlive(l)
-	}
+	})
 }
--- a/internal/bench/batch_scale_test.go
+++ b/internal/bench/batch_scale_test.go
@@ -20,6 +20,9 @@
 		name := fmt.Sprintf("workers=%d/running=%d/starts=%d", c.Workers, c.Running, c.StartsPerSecond)
 		b.Run(name, func(b *testing.B) {
 			s := c.Prepare(batchSeed)
+			if n := s.Observer.Starts; n != c.Running {
+				b.Fatalf("%d of %d tasks run", n, c.Running)
+			}
 			b.ResetTimer()
 			var r batch.ScaleResult
 			for range b.N {
--- a/pkg/ledger/bench_test.go
+++ b/pkg/ledger/bench_test.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// BenchmarkCancel cancels queued tasks among many, which must not depend on
+// their number.
+func BenchmarkCancel(b *testing.B) {
+	for _, n := range []int{9400, 94_000} {
+		b.Run(fmt.Sprintf("running=%d", n), func(b *testing.B) {
+			s := running(b, n)
+			i := n
+			for b.Loop() {
+				b.StopTimer()
+				i++
+				s.add(accepted(i))
+				r := &sched.TaskRecord{Entries: []sched.TaskEntry{{Kind: sched.EntryCancelled, TaskID: taskName(i)}}}
+				b.StartTimer()
+				if c, err := s.l.Apply(s.next, r); err != nil || len(c) != 1 {
+					b.Fatal(c, err)
+				}
+				s.next++
+			}
+		})
+	}
+}
+
 // BenchmarkRecordSize reports the bytes of an entry of each kind, in a record
 // of ten, and those of a snapshot per task.
 func BenchmarkRecordSize(b *testing.B) {
