Repeat an operator's word and the end of a term after a failed append

A term that was appended but is not wanted any more when it is read is now ended, since it would otherwise keep the next planner from taking tasks as dead; an own term that was given up is not taken up again when the stream is replayed.

--- a/internal/bench/batch/control.go
+++ b/internal/bench/batch/control.go
@@ -24,6 +24,11 @@
 	h.deliver(func() plan.Input { return plan.CancelRequested{Task: t} })
 }
 
+// Drain takes a worker out of placement or back in.
+func (s *Sim) Drain(i int, w sched.InstanceID, drained bool) {
+	s.hosts[i].deliver(func() plan.Input { return plan.DrainRequested{Worker: w, Drained: drained} })
+}
+
 // CrashHost ends a planner's process; calls under way go on.
 func (s *Sim) CrashHost(i int) {
 	if h := s.hosts[i]; !h.down {
--- a/pkg/plan/faults_test.go
+++ b/pkg/plan/faults_test.go
@@ -110,6 +110,10 @@
 func (c *scenario) submit() {
 	for i := range 1 + c.IntN(8) {
 		k := task(fmt.Sprintf("task-%d-%d", c.n, i), c.Int64N(12)*1000+1000)
+		k.Needs.Memory = (1 + c.Int64N(30)) * gibibyte
+		if c.IntN(6) == 0 {
+			k.Needs.Accelerators = 1
+		}
 		k.Urgency = sched.Urgency(1 + c.IntN(2))
 		k.Kind = []string{"sweep", "sweep", "sweep", "broken"}[c.IntN(4)]
 		k.Team = []string{"rooms", "rooms", "small"}[c.IntN(3)]
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -82,6 +82,7 @@
 	peers       []PeerTerm
 	peerTerm    sched.Offset
 	termSeen    sched.Offset
+	lostTerm    sched.Offset // the newest own term that was given up
 	nextTerm    time.Time
 
 	// Planning, valid while there is an own term.
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -113,3 +113,33 @@
 		})
 	}
 }
+
+// Guards against an operator's word that is lost with a failed append, or
+// overtaken by an earlier one.
+func TestDrainSurvivesLogOutage(t *testing.T) {
+	is := is.New(t)
+	s := batch.New(config(1, 1, 2))
+	s.Run(2 * time.Second)
+	s.LogDown = true
+	s.Drain(0, "worker-0", true)
+	s.Run(5 * time.Second)
+	s.LogDown = false
+	s.Run(5 * time.Second)
+	w, _ := s.Ledger().Worker("worker-0")
+	is.True(w.Drained)
+	s.Submit(0, task("task", 1000))
+	s.Run(5 * time.Second)
+	k, _ := s.Ledger().Task("task")
+	is.Equal(k.Worker, sched.InstanceID("worker-1"))
+
+	s.LogDown = true
+	s.Drain(0, "worker-0", false)
+	s.Run(100 * time.Millisecond)
+	s.Drain(0, "worker-0", true)
+	s.Run(100 * time.Millisecond)
+	s.Drain(0, "worker-0", false)
+	s.Run(3 * time.Second)
+	s.LogDown = false
+	s.Run(5 * time.Second)
+	is.True(!w.Drained)
+}
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -78,19 +78,35 @@
 		p.lose("a newer term was read")
 		own = 0
 	}
-	if own == 0 && newest != 0 && p.responsible && !p.leaving {
-		last := open[len(open)-1]
-		if last.Term == newest && last.Instance == p.options.Instance &&
-			last.Incarnation == p.options.Incarnation && newest >= p.peerTerm {
+	if own == 0 && newest > p.lostTerm && p.isOwn(open, newest) {
+		if p.responsible && !p.leaving && newest >= p.peerTerm {
 			p.begin(newest)
 			return
 		}
+		// Nothing was sent under it.
+		p.giveUp(newest)
 	}
 	if own != 0 {
 		p.endEarlier(open)
 	}
 }
 
+// isOwn tells whether a term is the last open one and was begun by this run of
+// this instance.
+func (p *Planner) isOwn(open []sched.TermStatus, term sched.Offset) bool {
+	if len(open) == 0 {
+		return false
+	}
+	last := open[len(open)-1]
+	return last.Term == term && last.Instance == p.options.Instance && last.Incarnation == p.options.Incarnation
+}
+
+// giveUp records the end of an own term, which is not taken up again.
+func (p *Planner) giveUp(term sched.Offset) {
+	p.lostTerm = term
+	p.note(sched.TaskEntry{Kind: sched.EntryTermEnded, Term: term})
+}
+
 // endEarlier tells the book which of the earlier terms are no longer open.
 func (p *Planner) endEarlier(open []sched.TermStatus) {
 	still := make(map[sched.Offset]bool, len(open))
@@ -139,7 +155,7 @@
 	p.book.End()
 	p.nextTerm = p.now.Add(2 * p.limits().Lease)
 	p.clearPlans()
-	p.note(sched.TaskEntry{Kind: sched.EntryTermEnded, Term: term})
+	p.giveUp(term)
 	p.event("termLost", "", why)
 }
 
--- a/pkg/plan/stream.go
+++ b/pkg/plan/stream.go
@@ -223,6 +223,29 @@
 	}
 	p.forget(f)
 	p.flight = nil
+	p.repeat(f)
+}
+
+// repeated lists the kinds of entries that nothing but their first cause brings
+// up again; all others follow from the next report or visit.
+var repeated = map[sched.EntryKind]bool{
+	sched.EntryTermEnded:    true,
+	sched.EntryDrained:      true,
+	sched.EntryDeclaredDead: true,
+}
+
+// repeat queues entries of a failed append again, before later ones.
+func (p *Planner) repeat(f *flight) {
+	later := p.facts
+	p.facts = nil
+	for _, e := range f.entries {
+		if e.Kind == sched.EntryDrained {
+			p.facts = append(p.facts, e)
+		} else if repeated[e.Kind] {
+			p.note(e)
+		}
+	}
+	p.facts = append(p.facts, later...)
 }
 
 // forget removes the marks of the entries and makes open decisions void.
--- a/pkg/plan/submit.go
+++ b/pkg/plan/submit.go
@@ -140,7 +140,9 @@
 }
 
 func (i DrainRequested) apply(p *Planner) {
-	p.note(sched.TaskEntry{Kind: sched.EntryDrained, Worker: i.Worker, Drained: i.Drained})
+	// Not noted: of several words about a worker the last one counts, also if
+	// it equals one that is on its way.
+	p.facts = append(p.facts, sched.TaskEntry{Kind: sched.EntryDrained, Worker: i.Worker, Drained: i.Drained})
 }
 
 func (i DeadDeclared) apply(p *Planner) {
