Refuse a late grant as not run

Cause: a claim whose grant arrived after its caller's deadline was answered with 301 (in progress), because its own intent showed as open. Change: only another claim that holds the id leads to 301. Conclusion: fewer unknown outcomes.

--- a/pkg/dedup/holder.go
+++ b/pkg/dedup/holder.go
@@ -114,10 +114,10 @@
 	return v
 }
 
-// refusal is the verdict when the log can't be reached. An id that is known to
-// be open is not called "not run".
+// refusal is the verdict when the log can't be reached in time. An id that
+// another claim is known to hold is not called "not run".
 func (h *Holder) refusal(c Claim) Verdict {
-	if h.State(c.ID).Status == StatusOpen {
+	if s := h.State(c.ID); s.Status == StatusOpen && s.Nonce != c.Nonce {
 		return Verdict{Claim: c, Code: sched.CodeUnknownInProgress}
 	}
 	return Verdict{Claim: c, Code: sched.CodeLogUnavailable}
--- a/pkg/dedup/table_test.go
+++ b/pkg/dedup/table_test.go
@@ -31,3 +31,17 @@
 	_, decided = h.Claim(ran.ID, now, now)
 	is.True(!decided) // a new id isn't refused
 }
+
+// Guards against "unknown" for a claim that was granted too late for its caller
+// and was never sent.
+func TestLateGrantIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	h := dedup.Holder{Nonce: func() uint64 { return 7 }}
+	h.Window = time.Hour
+	v, _ := h.Claim(dedup.ID{1}, now, now)
+	b, _ := h.Next(now)
+	granted, _ := h.Apply(1, b, now)
+	is.True(granted[0].Granted)
+	is.Equal(h.GiveUp(v.Claim).Code, sched.CodeLogUnavailable)
+}
