Pass over a backend server that can't be reached

Cause: a dead backend server that the list still shows was dialed again every few hundred milliseconds, and a dial can take half a second. Change: sched.ErrUnreachable marks a failed dial; the router passes such a server over for a second.

--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -119,6 +120,9 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		s.open--
+		if c.Err() == nil {
+			err = fmt.Errorf("%w: %w", sched.ErrUnreachable, err)
+		}
 		return nil, err
 	}
 	k := newConn(n, s, p.Clock)
--- a/internal/conn/pool/pool_test.go
+++ b/internal/conn/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -222,5 +223,7 @@
 	is.Equal(p.Send(t.Context(), s.member(), request("plain-9", true), 1).Outcome, sched.OutcomeRefusedNotRun)
 	is.NoErr(s.listener.Close())
 	q := &pool.Pool{Clock: realClock{}}
-	is.Equal(q.Send(t.Context(), s.member(), request("plain-10", true), 1).Outcome, sched.OutcomeRefusedNotRun)
+	r := q.Send(t.Context(), s.member(), request("plain-10", true), 1)
+	is.Equal(r.Outcome, sched.OutcomeRefusedNotRun)
+	is.True(errors.Is(r.Err, sched.ErrUnreachable))
 }
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -294,6 +295,9 @@
 	if s.Outcome == sched.OutcomeRefusedNotRun {
 		free = max(free, 0)
 		c.refusedUntil = now.Add(refusedHold)
+		if errors.Is(s.Err, sched.ErrUnreachable) {
+			c.refusedUntil = now.Add(unreachableHold)
+		}
 	}
 	if free >= 0 {
 		c.report(free, now)
--- a/pkg/route/router_test.go
+++ b/pkg/route/router_test.go
@@ -106,3 +106,25 @@
 	}
 	is.True(sent[1]+sent[2]+sent[3] <= rate*9/10+30_000) // the rest is for control traffic
 }
+
+// Guards against requests that wait for dials to a dead backend server while
+// others work.
+func TestUnreachableServerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := &route.Router{Region: "r", DataCentre: "d", Seed: 1}
+	r.Update([]sched.Member{member("a", "r", "d"), member("b", "r", "d")}, 1, 0)
+	dials := 0
+	for range 5000 {
+		now = now.Add(time.Millisecond)
+		p, code := r.Pick(route.Query{Service: "echo"}, now)
+		is.Equal(code, sched.Code(0))
+		s := sched.SendResult{Outcome: sched.OutcomeAnswered, FreeSlots: 1}
+		if p.Member.ID == "a" {
+			dials++
+			s = sched.SendResult{Outcome: sched.OutcomeRefusedNotRun, FreeSlots: -1, Err: sched.ErrUnreachable}
+		}
+		r.Done(p, s, 0, now)
+	}
+	is.True(dials >= 1 && dials <= 6) // at most one a second
+}
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -15,6 +15,11 @@
 // passed over. It is of the order of one service time.
 const refusedHold = 10 * time.Millisecond
 
+// unreachableHold is how long a backend server that could not be reached is
+// passed over. The list that still shows it lags by seconds, and a failed dial
+// can cost half a second.
+const unreachableHold = time.Second
+
 // server is one backend server as this instance sees it.
 type server struct {
 	member sched.Member
--- a/pkg/sched/request.go
+++ b/pkg/sched/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -82,6 +83,10 @@
 	Err    error
 }
 
+// ErrUnreachable reports that no connection to the backend server could be
+// opened, so the request did not run.
+var ErrUnreachable = errors.New("backend server can't be reached")
+
 // Sender sends one request to one backend server, once.
 type Sender interface {
 	// Send returns OutcomeRefusedNotRun only if it is certain that the request
