Address worker calls to one boot of the worker

Cause: a delayed start that reaches a worker after its restart ran the attempt again: the worker had lost the memory of the first run, and the fencing token was still the newest. Ruled out: two places at once; the next attempt waits until old starts are void. Change: WorkerCall carries the boot that the planner knows; workers that check tokens ignore calls for another boot. The planner's own rules stay, for workers that don't check. Conclusion: an attempt starts at most once on workers that check tokens.

--- a/internal/bench/batch/worker.go
+++ b/internal/bench/batch/worker.go
@@ -87,7 +87,8 @@
 		return sched.WorkerReport{}, false
 	}
 	w.lapse()
-	if c.NotAfter.After(w.clock()) && (!w.sim.config.CheckTokens || c.Term >= w.term) {
+	otherBoot := c.Boot != 0 && c.Boot != w.boot
+	if c.NotAfter.After(w.clock()) && (!w.sim.config.CheckTokens || c.Term >= w.term && !otherBoot) {
 		w.term = max(w.term, c.Term)
 		if c.NotAfter.After(w.lease) {
 			w.lease = c.NotAfter
--- a/internal/standin/worker/attempt.go
+++ b/internal/standin/worker/attempt.go
@@ -16,10 +16,11 @@
 	ReasonNoCheckpoint = "checkpoint not found, not started"
 )
 
-// apply executes a call at w.now. A call of an old term or past its notAfter
-// does nothing.
+// apply executes a call at w.now. A call of an old term, for another boot or
+// past its notAfter does nothing.
 func (w *Worker) apply(call sched.WorkerCall) {
-	if w.pool.config.CheckTokens && call.Term < w.term {
+	otherBoot := call.Boot != 0 && call.Boot != w.boot
+	if w.pool.config.CheckTokens && (call.Term < w.term || otherBoot) {
 		return
 	}
 	if !call.NotAfter.After(w.now.Add(w.offset)) {
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -172,6 +172,30 @@
 	i.Equal(b.pool.Observer().Counts().LostInCrash, 1)
 }
 
+// Guards against a start that a delay carries past a restart: the attempt ran
+// before, so it would run a second time.
+func TestDelayedStartDoesNotReachTheNextBoot(t *testing.T) {
+	i := is.New(t)
+	b := newBench(Config{CheckTokens: true}, "a")
+	w := b.pool.Worker("a")
+	start := sched.WorkerCall{
+		Term: 1, Boot: 1, NotAfter: b.clock.Now().Add(time.Hour),
+		Commands: []sched.Command{order(sched.CommandStart, "t", 1)},
+	}
+	w.SetFaults(Faults{Duplicated: 1, DelayBy: time.Second})
+	_, err := b.pool.Exchange(t.Context(), sched.Member{ID: "a"}, start)
+	i.NoErr(err)
+	w.SetFaults(Faults{})
+	w.Crash()
+	w.Restart()
+	b.clock.Advance(2 * time.Second)
+	r, err := b.call("a", 1, time.Hour)
+	i.NoErr(err)
+	i.Equal(r.Boot, uint64(2))
+	i.Equal(stateOf(r, "t"), sched.AttemptState(0))
+	i.Equal(b.pool.Observer().Counts().DuplicateStarts, 0)
+}
+
 // Guards against measurements that arrive without the lag, or that don't show
 // the interference of the task next to the service.
 func TestReportsLagAndShowInterference(t *testing.T) {
--- a/internal/wire/pjson/worker.go
+++ b/internal/wire/pjson/worker.go
@@ -20,6 +20,7 @@
 
 type callJSON struct {
 	Term     sched.Offset  `json:"term"`
+	Boot     uint64        `json:"boot,omitempty"`
 	NotAfter time.Time     `json:"notAfter"`
 	Commands []commandJSON `json:"commands,omitempty"`
 }
@@ -53,7 +54,7 @@
 
 // EncodeCall returns the JSON of a call to a worker.
 func EncodeCall(call sched.WorkerCall) ([]byte, error) {
-	j := callJSON{Term: call.Term, NotAfter: call.NotAfter}
+	j := callJSON{Term: call.Term, Boot: call.Boot, NotAfter: call.NotAfter}
 	for _, c := range call.Commands {
 		j.Commands = append(j.Commands, commandJSON{
 			commandNames.byNum[c.Kind], c.Task, c.Attempt, c.TaskKind,
@@ -70,7 +71,7 @@
 	if err := json.Unmarshal(data, &j); err != nil {
 		return sched.WorkerCall{}, fmt.Errorf("worker call: %w", err)
 	}
-	call := sched.WorkerCall{Term: j.Term, NotAfter: j.NotAfter}
+	call := sched.WorkerCall{Term: j.Term, Boot: j.Boot, NotAfter: j.NotAfter}
 	for n, c := range j.Commands {
 		kind, err := commandNames.parse(c.Kind)
 		if err != nil {
--- a/pkg/plan/node.go
+++ b/pkg/plan/node.go
@@ -194,7 +194,7 @@
 		return
 	}
 	id := n.member.ID
-	c := sched.WorkerCall{Term: p.book.Term(), NotAfter: notAfter, Commands: p.commands(n, notAfter)}
+	c := sched.WorkerCall{Term: p.book.Term(), Boot: n.boot, NotAfter: notAfter, Commands: p.commands(n, notAfter)}
 	p.book.Sent(id, notAfter)
 	p.serial++
 	n.serial, n.calledAt, n.lastCall, n.dirty = p.serial, p.now, p.now, false
--- a/pkg/sched/worker.go
+++ b/pkg/sched/worker.go
@@ -44,6 +44,10 @@
 	// Term is the fencing token of the planner. A worker that checks tokens
 	// refuses calls with a lower one than it has seen.
 	Term Offset
+	// Boot is the worker's boot that the commands are meant for, 0 for any. A
+	// worker that checks tokens ignores a call for another boot, so that a
+	// delayed start can't run an attempt again after a restart.
+	Boot uint64
 	// NotAfter is the end of the lease that this call grants. A worker whose
 	// clock is past it ignores the call.
 	NotAfter time.Time
