Read the platform's list only when it changed, compressed

Cause: each instance reads the whole list every second. With 240 members that is 50 KB, far over the 8 KB/s that control may use per node; at the target size it is 1.3 MB. Change: the client names the entity tag of the list that it has, and takes gzip; the stand-in answers 304 if nothing changed. A platform without entity tags still works, at the old cost.

--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"net"
@@ -141,7 +143,8 @@
 			for k := range n {
 				list = append(list, sched.Member{
 					ID: sched.InstanceID(fmt.Sprintf("worker-%04d", k)), Incarnation: 1, Role: sched.RoleWorker, State: sched.StateLive,
-					Region: "region-1", DataCentre: "centre-11", Rack: "rack-07", Address: "10.1.20.30:7500",
+					Region: sched.Region(fmt.Sprintf("region-%d", k%5)), DataCentre: sched.DataCentre(fmt.Sprintf("centre-%02d", k%18)),
+					Rack: fmt.Sprintf("rack-%03d", k/11), Address: fmt.Sprintf("10.%d.%d.%d:7500", k%18, k*7919%251, k*104729%253),
 					Capacity: sched.Resources{Processors: 16000, Memory: 60 << 30},
 				})
 			}
@@ -154,10 +157,28 @@
 				size = len(data)
 			}
 			b.ReportMetric(float64(size), "bytes")
+			b.ReportMetric(float64(zipped(b, list)), "gzipBytes")
 		})
 	}
 }
 
+// zipped is the size of a list as clients of the platform read it.
+func zipped(b *testing.B, list []sched.Member) int {
+	data, err := pjson.EncodeMembers(list)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	if _, err := z.Write(data); err != nil {
+		b.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		b.Fatal(err)
+	}
+	return out.Len()
+}
+
 func folder(n int) []config.File {
 	files := []config.File{{Name: "00-base.yaml", Data: []byte("partners: {north: {share: 0.4}, south: {share: 0.4}}\n" +
 		"services: {simdesk: {urgency: urgent, timeout: 10s}}\nregions: {luzon: {dataCentres: [quezon-a, pasig-b]}}\n")}}
--- a/internal/process/plat/client.go
+++ b/internal/process/plat/client.go
@@ -42,6 +42,14 @@
 	http *http.Client
 	sent atomic.Int64
 	read atomic.Int64
+	list atomic.Pointer[taggedList]
+}
+
+// taggedList is the list as last read, with its entity tag. At the target size
+// the list has over a megabyte, and most reads find it unchanged.
+type taggedList struct {
+	tag     string
+	members []sched.Member
 }
 
 var (
@@ -71,7 +79,7 @@
 
 // Append implements sched.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (sched.Offset, error) {
-	body, err := c.do(ctx, http.MethodPost, c.Base+"/log/append?"+url.Values{"stream": {stream}}.Encode(), data)
+	body, err := c.call(ctx, http.MethodPost, c.Base+"/log/append?"+url.Values{"stream": {stream}}.Encode(), data)
 	if err != nil {
 		return 0, fmt.Errorf("append to %s: %w", stream, err)
 	}
@@ -89,7 +97,7 @@
 	q := url.Values{
 		"stream": {stream}, "from": {strconv.FormatInt(int64(from), 10)}, "limit": {strconv.Itoa(limit)},
 	}
-	body, err := c.do(ctx, http.MethodGet, c.Base+"/log/read?"+q.Encode(), nil)
+	body, err := c.call(ctx, http.MethodGet, c.Base+"/log/read?"+q.Encode(), nil)
 	var refused *refusedError
 	if errors.As(err, &refused) && refused.Code == pjson.RefusalTrimmed && refused.Earliest > from {
 		return sched.Page{}, &sched.TrimmedError{Stream: stream, From: from, Earliest: refused.Earliest}
@@ -107,16 +115,30 @@
 	return p, nil
 }
 
-// Members implements sched.Roster.
+// Members implements sched.Roster. The caller must not change the result.
 func (c *Client) Members(ctx context.Context) ([]sched.Member, error) {
-	body, err := c.do(ctx, http.MethodGet, c.Base+"/roster/members", nil)
+	h := http.Header{}
+	last := c.list.Load()
+	if last != nil {
+		h.Set("If-None-Match", last.tag)
+	}
+	a, err := c.do(ctx, http.MethodGet, c.Base+"/roster/members", h, nil)
 	if err != nil {
 		return nil, fmt.Errorf("list: %w: %w", sched.ErrUnavailable, err)
 	}
-	list, err := pjson.DecodeMembers(body)
+	if a.notModified {
+		if last == nil {
+			return nil, fmt.Errorf("list: %w: not modified, but never read", sched.ErrUnavailable)
+		}
+		return last.members, nil
+	}
+	list, err := pjson.DecodeMembers(a.body)
 	if err != nil {
 		return nil, fmt.Errorf("list: %w: %w", sched.ErrUnavailable, err)
 	}
+	if a.tag != "" {
+		c.list.Store(&taggedList{a.tag, list})
+	}
 	return list, nil
 }
 
@@ -130,7 +152,7 @@
 	if w.Address != "" {
 		base = "http://" + w.Address
 	}
-	body, err := c.do(ctx, http.MethodPost, base+"/workers/"+url.PathEscape(string(w.ID))+"/exchange", data)
+	body, err := c.call(ctx, http.MethodPost, base+"/workers/"+url.PathEscape(string(w.ID))+"/exchange", data)
 	if err != nil {
 		return sched.WorkerReport{}, fmt.Errorf("worker %s: %w", w.ID, err)
 	}
@@ -151,9 +173,21 @@
 
 func (e *refusedError) Unwrap() error { return sched.ErrUnavailable }
 
-// do makes one call and returns the body of a 200 answer. Its errors wrap
-// ErrUnavailable or ErrUncertain.
-func (c *Client) do(ctx context.Context, method, target string, data []byte) ([]byte, error) {
+// reply is an answer with status 200 or 304.
+type reply struct {
+	body        []byte
+	tag         string
+	notModified bool
+}
+
+// call makes one call without headers of its own and returns the body.
+func (c *Client) call(ctx context.Context, method, target string, data []byte) ([]byte, error) {
+	a, err := c.do(ctx, method, target, http.Header{}, data)
+	return a.body, err
+}
+
+// do makes one call. Its errors wrap ErrUnavailable or ErrUncertain.
+func (c *Client) do(ctx context.Context, method, target string, h http.Header, data []byte) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	// Without a connection nothing was written, whatever the error is.
@@ -163,14 +197,15 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", sched.ErrUnavailable, err)
+		return reply{}, fmt.Errorf("%w: %w", sched.ErrUnavailable, err)
 	}
+	req.Header = h
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !connected.Load() {
-			return nil, fmt.Errorf("%w: %w", sched.ErrUnavailable, err)
+			return reply{}, fmt.Errorf("%w: %w", sched.ErrUnavailable, err)
 		}
-		return nil, fmt.Errorf("%w: %w", sched.ErrUncertain, err)
+		return reply{}, fmt.Errorf("%w: %w", sched.ErrUncertain, err)
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read, nothing depends on it any more
 	c.sent.Add(int64(len(data)))
@@ -178,15 +213,17 @@
 	c.read.Add(int64(len(body)))
 	switch {
 	case err != nil:
-		return nil, fmt.Errorf("%w: %w", sched.ErrUncertain, err)
+		return reply{}, fmt.Errorf("%w: %w", sched.ErrUncertain, err)
 	case int64(len(body)) > c.BodyLimit:
-		return nil, fmt.Errorf("%w: answer is longer than %d bytes", sched.ErrUncertain, c.BodyLimit)
+		return reply{}, fmt.Errorf("%w: answer is longer than %d bytes", sched.ErrUncertain, c.BodyLimit)
 	case resp.StatusCode == http.StatusOK:
-		return body, nil
+		return reply{body: body, tag: resp.Header.Get("ETag")}, nil
+	case resp.StatusCode == http.StatusNotModified:
+		return reply{notModified: true}, nil
 	}
 	refusal, err := pjson.DecodeRefusal(body)
 	if err != nil {
-		return nil, fmt.Errorf("%w: status %d: %w", sched.ErrUncertain, resp.StatusCode, err)
+		return reply{}, fmt.Errorf("%w: status %d: %w", sched.ErrUncertain, resp.StatusCode, err)
 	}
-	return nil, &refusedError{refusal}
+	return reply{}, &refusedError{refusal}
 }
--- a/internal/process/plat/client_test.go
+++ b/internal/process/plat/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -144,3 +145,28 @@
 	_, err := c.Read(t.Context(), "x", 2, 5)
 	i.True(errors.Is(err, sched.ErrUnavailable))
 }
+
+// Guards against a list that is read whole each second although nothing
+// changed, and against one that hides a change behind an old entity tag.
+func TestUnchangedListCostsNoBytes(t *testing.T) {
+	i := is.New(t)
+	list := roster.New(clock.System{}, 0)
+	for n := range 200 {
+		list.PutNow(sched.Member{ID: sched.InstanceID(fmt.Sprintf("w%03d", n)), Role: sched.RoleWorker, State: sched.StateLive})
+	}
+	c := serve(t, roster.Handler(list))
+	first, err := c.Members(t.Context())
+	i.NoErr(err)
+	_, whole := c.Traffic()
+	for range 10 {
+		again, err := c.Members(t.Context())
+		i.NoErr(err)
+		i.Equal(again, first)
+	}
+	_, after := c.Traffic()
+	i.Equal(after, whole)
+	list.PutNow(first[7].WithState(sched.StateLeaving))
+	changed, err := c.Members(t.Context())
+	i.NoErr(err)
+	i.Equal(changed[7].State, sched.StateLeaving)
+}
--- a/internal/standin/roster/handler.go
+++ b/internal/standin/roster/handler.go
@@ -1,13 +1,20 @@
 package roster
 
 import (
+	"compress/gzip"
+	"fmt"
 	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pjson"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
-// Handler serves a list over HTTP as GET /roster/members.
+// Handler serves a list over HTTP as GET /roster/members, compressed if the
+// caller takes gzip, and as 304 if the caller names the entity tag of what is
+// there.
 func Handler(list sched.Roster) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /roster/members", func(w http.ResponseWriter, r *http.Request) {
@@ -25,9 +32,31 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(status)
-		// A failed write means that the caller is gone.
-		_, _ = w.Write(body)
+		if status != http.StatusOK {
+			w.WriteHeader(status)
+			_, _ = w.Write(body)
+			return
+		}
+		writeTagged(w, r, body)
 	})
 	return mux
 }
+
+// writeTagged writes a body with its entity tag. A failed write means that the
+// caller is gone.
+func writeTagged(w http.ResponseWriter, r *http.Request, body []byte) {
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(body)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = z.Write(body)
+	_ = z.Close()
+}
