Let a fresh instance wait until its peers count as candidates

The soak (9 processes, list lag 10 s) showed that the wait for the list alone ends before the list shows the peers that started at the same moment, so that all of a data centre began terms at the same time (plannerGained of three instances within 30 ms). The wait now also covers the peers' hysteresis. The failure tests pass; the effect on lapsed attempts in the soak has not been measured.

--- a/internal/process/daemon/planning.go
+++ b/internal/process/daemon/planning.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/coloc"
@@ -29,6 +30,7 @@
 	// could be responsible.
 	startedAt time.Time
 	listed    bool
+	settled   bool
 	queued    int
 	placed    int
 }
@@ -38,6 +40,9 @@
 	// limit of 3 s.
 	exchangeTime = 2 * time.Second
 	taskLimit    = 500
+	// settleBound ends the wait for peers that never become candidates. It is
+	// above the hysteresis, after which a heard peer is one.
+	settleBound = 2 * member.DefaultHysteresis
 )
 
 // planSettings passes a configuration on to the planner.
@@ -113,21 +118,36 @@
 }
 
 // planner is the instance that should plan for the own data centre, empty if
-// that is not known. A fresh instance that the list does not show yet may not
-// know its peers either, and would begin a term that interrupts theirs (a soak
-// showed 59 lapsed attempts after nine instances had started at once); it waits
-// for the list, at most for its lag.
+// that is not known.
 func (c *control) planner(v *member.View) sched.InstanceID {
 	owner, _ := rendez.Planner(c.d.DataCentre).Owner(v.Candidates(c.d.DataCentre))
-	if owner != c.d.ID || c.plan.listed || c.settings == nil {
-		return owner
-	}
-	if c.d.Clock.Now().Sub(c.plan.startedAt) < c.settings.Limits.ListLag {
+	if owner == c.d.ID && !c.settled(v) {
 		return ""
 	}
 	return owner
 }
 
+// settled tells whether a fresh instance can know who else could be
+// responsible: the list shows it or has had the time to show also those that
+// started at the same moment, and every live
+// peer that it knows counts as a candidate. Otherwise it would begin a term that
+// interrupts the one of a peer.
+func (c *control) settled(v *member.View) bool {
+	if c.plan.settled || c.settings == nil {
+		return c.plan.settled
+	}
+	age, lag := c.d.Clock.Now().Sub(c.plan.startedAt), c.settings.Limits.ListLag
+	if !c.plan.listed && age < lag+member.DefaultHysteresis {
+		return false
+	}
+	candidates := v.Candidates(c.d.DataCentre)
+	waiting := slices.ContainsFunc(v.Members(c.d.DataCentre, sched.RoleEntry, ""), func(m sched.Member) bool {
+		return m.State == sched.StateLive && !slices.Contains(candidates, m.ID)
+	})
+	c.plan.settled = !waiting || age > lag+settleBound
+	return c.plan.settled
+}
+
 // listRead notes a successful read of the platform's list.
 func (c *control) listRead(now time.Time, members []sched.Member) {
 	alone := true
