Take the term over at once when its holder has ended it

Cause: a planner that was paused lost its term and then waited two leases before it began another. Meanwhile the instance that had stood in gave the role back after the hysteresis time, so nobody renewed the leases for up to 25 seconds and every attempt of the data centre lapsed. Ruled out: lost renewals; the workers were reachable all the time. Change: the wait applies only while another term is in force. A begin whose append was lost is tried again after a quarter of a lease, no longer a whole.

--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -83,7 +83,10 @@
 	peerTerm    sched.Offset
 	termSeen    sched.Offset
 	lostTerm    sched.Offset // the newest own term that was given up
-	nextTerm    time.Time
+	// termAsked is when the begin of a term was last noted, nextTerm when an own
+	// one may interrupt that of another instance.
+	termAsked time.Time
+	nextTerm  time.Time
 
 	// Planning, valid while there is an own term.
 	queue     *place.Queue
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -143,3 +143,31 @@
 	s.Run(5 * time.Second)
 	is.True(!w.Drained)
 }
+
+// Guards against leases that run out because the role returns to a planner
+// that lost its term during a pause, and that planner waits although the other
+// one has ended its own.
+func TestRoleReturnsAfterPauseWithoutALapse(t *testing.T) {
+	is := is.New(t)
+	cfg := config(1, 2, 4)
+	cfg.Truth = truth(4 * time.Minute)
+	s := batch.New(cfg)
+	yes, no := true, false
+	s.MisleadHost(0, &yes)
+	s.MisleadHost(1, &no)
+	s.Run(2 * time.Second)
+	const n = 16
+	for i := range n {
+		s.Submit(1, task(fmt.Sprintf("task-%d", i), 4000))
+	}
+	s.Run(3 * time.Second)
+	is.Equal(s.Observer.Starts, n)
+	s.PauseHost(0, 6*time.Second)
+	s.Run(5 * time.Second)
+	s.MisleadHost(1, &yes) // silence and hysteresis have passed
+	s.Run(6 * time.Second)
+	s.MisleadHost(1, &no) // the paused planner counts as live again
+	s.Run(5 * time.Minute)
+	is.Equal(s.Observer.Starts, n) // no attempt lapsed and started again
+	is.Equal(s.Ledger().Usage("kooperatiba", s.Now()).Runs, int64(n))
+}
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -27,6 +27,10 @@
 	p.lose("leaving")
 }
 
+// termTries is how often the begin of a term is tried within one lease, in case
+// that its append is lost.
+const termTries = 4
+
 // holdTerm begins a term when this instance is responsible, gives it up when
 // it no longer is, and ends the terms of others that are known to be over.
 func (p *Planner) holdTerm() {
@@ -40,10 +44,16 @@
 	}
 	p.endOthers()
 	p.snapshot()
-	if own != 0 || p.now.Before(p.nextTerm) {
+	if own != 0 || p.now.Before(p.termAsked.Add(p.limits().Lease/termTries)) {
+		return
+	}
+	// The wait keeps two instances that both hold themselves responsible from
+	// ending each other's terms in turn. It must not apply once the other has
+	// ended its term, or nobody would renew the leases.
+	if p.ledger.NewestTerm() != 0 && p.now.Before(p.nextTerm) {
 		return
 	}
-	p.nextTerm = p.now.Add(p.limits().Lease)
+	p.termAsked = p.now
 	p.note(sched.TaskEntry{
 		Kind: sched.EntryTerm, Instance: p.options.Instance, Incarnation: p.options.Incarnation,
 	})
