Let a planner begin a term soon after it gave its role back

Change: only an interruption by a newer term makes an instance wait, for half a lease; giving the role back does not.

--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -171,3 +171,31 @@
 	is.Equal(s.Observer.Starts, n) // no attempt lapsed and started again
 	is.Equal(s.Ledger().Usage("kooperatiba", s.Now()).Runs, int64(n))
 }
+
+// Guards against leases that run out because a planner that gave its role back
+// is not ready to take it again when the other one falls silent.
+func TestRoleIsTakenAgainSoonAfterItWasGivenBack(t *testing.T) {
+	is := is.New(t)
+	cfg := config(1, 2, 4)
+	cfg.Truth = truth(4 * time.Minute)
+	s := batch.New(cfg)
+	yes, no := true, false
+	s.MisleadHost(0, &no)
+	s.MisleadHost(1, &yes)
+	s.Run(2 * time.Second)
+	const n = 16
+	for i := range n {
+		s.Submit(1, task(fmt.Sprintf("task-%d", i), 4000))
+	}
+	s.Run(3 * time.Second)
+	is.Equal(s.Observer.Starts, n)
+	s.MisleadHost(1, &no)
+	s.MisleadHost(0, &yes)
+	s.Run(4 * time.Second)
+	s.PauseHost(0, 20*time.Second)
+	s.Run(5 * time.Second)
+	s.MisleadHost(1, &yes) // silence and hysteresis have passed
+	s.Run(5 * time.Minute)
+	is.Equal(s.Observer.Starts, n) // no attempt lapsed and started again
+	is.Equal(s.Ledger().Usage("kooperatiba", s.Now()).Runs, int64(n))
+}
--- a/pkg/plan/role.go
+++ b/pkg/plan/role.go
@@ -17,7 +17,7 @@
 		p.peerTerm = max(p.peerTerm, t.TermSeen)
 	}
 	if t := p.book.Term(); t != 0 && p.peerTerm > t {
-		p.lose("a peer has read a newer term")
+		p.interrupted("a peer has read a newer term")
 	}
 	p.setWorkers(i.Workers)
 }
@@ -47,9 +47,9 @@
 	if own != 0 || p.now.Before(p.termAsked.Add(p.limits().Lease/termTries)) {
 		return
 	}
-	// The wait keeps two instances that both hold themselves responsible from
-	// ending each other's terms in turn. It must not apply once the other has
-	// ended its term, or nobody would renew the leases.
+	// The wait after an interruption keeps two instances that both hold
+	// themselves responsible from ending each other's terms in turn. It must not
+	// apply once the other has ended its term, or nobody would renew the leases.
 	if p.ledger.NewestTerm() != 0 && p.now.Before(p.nextTerm) {
 		return
 	}
@@ -85,7 +85,7 @@
 	newest := p.ledger.NewestTerm()
 	own := p.book.Term()
 	if own != 0 && newest != own {
-		p.lose("a newer term was read")
+		p.interrupted("a newer term was read")
 		own = 0
 	}
 	if own == 0 && newest > p.lostTerm && p.isOwn(open, newest) {
@@ -155,6 +155,14 @@
 	p.event("termBegun", "", "")
 }
 
+// interrupted ends the own term because another instance has begun one. The
+// wait of half a lease is longer than the views of the members usually differ,
+// and shorter than a lease, in case the other instance dies.
+func (p *Planner) interrupted(why string) {
+	p.nextTerm = p.now.Add(p.limits().Lease / 2)
+	p.lose(why)
+}
+
 // lose ends the own term. Nothing is sent under it after this step, which the
 // recorded end tells the others.
 func (p *Planner) lose(why string) {
@@ -163,7 +171,6 @@
 		return
 	}
 	p.book.End()
-	p.nextTerm = p.now.Add(2 * p.limits().Lease)
 	p.clearPlans()
 	p.giveUp(term)
 	p.event("termLost", "", why)
