Share the virtual time and the baseline placement of the benchmarks

Cause: duplicates listed the event queue and the first-fit finder twice each. Change: internal/bench/vtime and internal/bench/naive; the two tests of the planner role share their start.

--- a/internal/bench/batch/control.go
+++ b/internal/bench/batch/control.go
@@ -14,7 +14,7 @@
 	h.deliver(func() plan.Input {
 		h.ticket++
 		h.tickets[h.ticket] = t.ID
-		return plan.Submitted{Ticket: h.ticket, Task: t.WithSubmittedAt(s.now)}
+		return plan.Submitted{Ticket: h.ticket, Task: t.WithSubmittedAt(s.queue.Now)}
 	})
 }
 
@@ -51,7 +51,7 @@
 func (s *Sim) PauseHost(i int, d time.Duration) {
 	h := s.hosts[i]
 	h.leave()
-	if until := s.now.Add(d); until.After(h.pausedUntil) {
+	if until := s.queue.Now.Add(d); until.After(h.pausedUntil) {
 		h.pausedUntil = until
 	}
 }
@@ -68,7 +68,7 @@
 // leave notes when a host left the list.
 func (h *host) leave() {
 	if !h.isAway() {
-		h.away = h.sim.now
+		h.away = h.sim.queue.Now
 	}
 }
 
@@ -81,7 +81,7 @@
 // RestartWorker brings a crashed worker back without memory.
 func (s *Sim) RestartWorker(i int) {
 	if w := s.order[i]; !w.up {
-		w.busyFrom = s.now
+		w.busyFrom = s.queue.Now
 		w.restart()
 	}
 }
@@ -96,7 +96,7 @@
 func (s *Sim) Heal() {
 	s.Faults, s.LogDown, s.LogDelay = Faults{}, false, 0
 	for i, h := range s.hosts {
-		h.cut, h.misled, h.pausedUntil = false, nil, s.now
+		h.cut, h.misled, h.pausedUntil = false, nil, s.queue.Now
 		s.RestartHost(i)
 	}
 	for i, w := range s.order {
--- a/internal/bench/batch/host.go
+++ b/internal/bench/batch/host.go
@@ -78,8 +78,8 @@
 func (h *host) deliver(in func() plan.Input) {
 	inc := h.incarnation
 	s := h.sim
-	if s.now.Before(h.pausedUntil) {
-		s.After(h.pausedUntil.Sub(s.now), func() {
+	if s.queue.Now.Before(h.pausedUntil) {
+		s.After(h.pausedUntil.Sub(s.queue.Now), func() {
 			if h.incarnation == inc {
 				h.deliver(in)
 			}
@@ -89,7 +89,7 @@
 	if h.down {
 		return
 	}
-	now := s.now.Add(h.offset)
+	now := s.queue.Now.Add(h.offset)
 	if now.Before(h.last) {
 		now = h.last
 	}
@@ -101,14 +101,14 @@
 	h.carryOut(out)
 }
 
-func (h *host) isAway() bool { return h.down || h.cut || h.sim.now.Before(h.pausedUntil) }
+func (h *host) isAway() bool { return h.down || h.cut || h.sim.queue.Now.Before(h.pausedUntil) }
 
 // members is what this host sees of the data centre.
 func (h *host) members() plan.Input {
 	s := h.sim
 	m := plan.MembersSeen{Responsible: h.responsible()}
 	limits := s.config.Settings.Limits
-	now := s.now.Add(h.offset)
+	now := s.queue.Now.Add(h.offset)
 	if !h.cut {
 		h.contact.List = now
 	}
@@ -122,7 +122,7 @@
 				Instance: hostID(o.index), Incarnation: o.incarnation, TermSeen: o.planner.TermSeen(),
 			})
 		}
-		if !h.cut && o.isAway() && s.now.Sub(o.away) > limits.ListLag+limits.IsolationLimit {
+		if !h.cut && o.isAway() && s.queue.Now.Sub(o.away) > limits.ListLag+limits.IsolationLimit {
 			m.Gone = append(m.Gone, hostID(o.index))
 		}
 	}
@@ -180,7 +180,7 @@
 
 func (h *host) read() {
 	s := h.sim
-	began := s.now.Add(h.offset)
+	began := s.queue.Now.Add(h.offset)
 	from := h.planner.Next()
 	s.After(s.config.Latency+s.LogDelay/2, func() {
 		if s.LogDown || h.cut {
--- a/internal/bench/batch/observer.go
+++ b/internal/bench/batch/observer.go
@@ -53,24 +53,24 @@
 	o.Starts++
 	if o.withdrawn[k.task] {
 		o.LateStarts++
-		o.violation("%s: task %s starts after its cancellation", w.sim.now.Sub(start), k.task)
+		o.violation("%s: task %s starts after its cancellation", w.sim.queue.Now.Sub(start), k.task)
 	}
 	places := o.running[k.task]
 	if places == nil {
 		places = map[sched.InstanceID]bool{}
 		o.running[k.task] = places
 		if _, seen := o.FirstStart[k.task]; !seen {
-			o.FirstStart[k.task] = w.sim.now
+			o.FirstStart[k.task] = w.sim.queue.Now
 		}
 	}
 	if len(places) > 0 {
 		o.Doubled++
 		o.violation("%s: task %s attempt %d starts on %s while it runs on %v",
-			w.sim.now.Sub(start), k.task, k.attempt, w.member.ID, places)
+			w.sim.queue.Now.Sub(start), k.task, k.attempt, w.member.ID, places)
 	}
 	places[w.member.ID] = true
 	if !w.used.Fits(w.member.Capacity) {
-		o.violation("%s: worker %s holds %+v", w.sim.now.Sub(start), w.member.ID, w.used)
+		o.violation("%s: worker %s holds %+v", w.sim.queue.Now.Sub(start), w.member.ID, w.used)
 	}
 	if from == "" {
 		return
@@ -79,7 +79,7 @@
 		o.resumes[from] = map[sched.Attempt]bool{}
 	}
 	if o.resumes[from][k.attempt] = true; len(o.resumes[from]) > 1 {
-		o.violation("%s: checkpoint %s is used by attempts %v", w.sim.now.Sub(start), from, o.resumes[from])
+		o.violation("%s: checkpoint %s is used by attempts %v", w.sim.queue.Now.Sub(start), from, o.resumes[from])
 	}
 }
 
@@ -95,7 +95,7 @@
 // recorded checks the state after a valid entry.
 func (o *Observer) recorded(s *Sim, c ledger.Change) {
 	if c.Worker != nil && !c.Worker.Committed.Fits(c.Worker.Capacity) {
-		o.violation("%s: worker %s is overcommitted in the records", s.now.Sub(start), c.Worker.Worker)
+		o.violation("%s: worker %s is overcommitted in the records", s.queue.Now.Sub(start), c.Worker.Worker)
 	}
 	if c.Task == nil {
 		return
@@ -112,7 +112,7 @@
 	}
 	for _, t := range s.config.Settings.Teams {
 		if t.Name == c.Task.Task.Team && exceeds(s.judge.Team(t.Name), t.Resources) {
-			o.violation("%s: team %s holds more than its quota", s.now.Sub(start), t.Name)
+			o.violation("%s: team %s holds more than its quota", s.queue.Now.Sub(start), t.Name)
 		}
 	}
 }
--- a/internal/bench/batch/scale.go
+++ b/internal/bench/batch/scale.go
@@ -73,7 +73,7 @@
 			Needs: sched.Resources{Processors: perTask, Memory: 1 << 30},
 		})
 	}
-	for s.Observer.Starts < c.Running && s.now.Sub(start) < 10*time.Minute {
+	for s.Observer.Starts < c.Running && s.queue.Now.Sub(start) < 10*time.Minute {
 		s.Run(time.Second)
 	}
 	s.Run(10 * time.Second)
@@ -84,8 +84,8 @@
 func (c Scale) Measure(s *Sim, seed uint64) ScaleResult {
 	r := rand.New(rand.NewPCG(seed, 5))
 	submitted := map[sched.TaskID]time.Time{}
-	round := s.count // tells the tasks of repeated measurements apart
-	before, calls, steps, from := s.AppendBytes, s.Calls, s.StepTime, s.now
+	round := s.queue.Added() // tells the tasks of repeated measurements apart
+	before, calls, steps, from := s.AppendBytes, s.Calls, s.StepTime, s.queue.Now
 	total := c.StartsPerSecond * int(c.Duration/time.Second)
 	for n := range total {
 		t := sched.Task{
@@ -94,7 +94,7 @@
 			Needs: sched.Resources{Processors: 500 + 100*r.Int64N(15), Memory: 1 << 30},
 		}
 		s.After(time.Duration(r.Int64N(int64(c.Duration))), func() {
-			submitted[t.ID] = s.now
+			submitted[t.ID] = s.queue.Now
 			s.Submit(0, t)
 		})
 	}
@@ -108,8 +108,8 @@
 	return ScaleResult{
 		Median: percentile(waits, 0.5), P99: percentile(waits, 0.99), Tick: s.config.Tick,
 		Started: len(waits), RecordBytes: float64(s.AppendBytes-before) / float64(total),
-		CallsPerSecond: float64(s.Calls-calls) / s.now.Sub(from).Seconds(),
-		CoreShare:      float64(s.StepTime-steps) / float64(s.now.Sub(from)),
+		CallsPerSecond: float64(s.Calls-calls) / s.queue.Now.Sub(from).Seconds(),
+		CoreShare:      float64(s.StepTime-steps) / float64(s.queue.Now.Sub(from)),
 		Evictions:      s.Observer.Evictions, Violations: s.Observer.Violations,
 	}
 }
--- a/internal/bench/batch/scenario.go
+++ b/internal/bench/batch/scenario.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/bench/naive"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
@@ -40,7 +42,7 @@
 func Baseline() Policy {
 	return Policy{Name: "baseline", Options: func(o *plan.Options) {
 		o.NoHold = true
-		o.NewFinder = func(*rand.Rand) plan.Finder { return &firstFit{free: map[sched.InstanceID]sched.Resources{}} }
+		o.NewFinder = func(*rand.Rand) plan.Finder { return naive.New() }
 		o.Cost = func(v plan.Victim) float64 { return -float64(v.Rank) }
 	}}
 }
@@ -166,7 +168,7 @@
 			Needs: sched.Resources{Processors: 1000 * (2 + r.Int64N(6)), Memory: 1 << 30},
 		}
 		s.After(at, func() {
-			submitted[t.ID] = s.now
+			submitted[t.ID] = s.queue.Now
 			s.Submit(n, t)
 		})
 	}
@@ -177,7 +179,7 @@
 	if usable == 0 {
 		usable = 1
 	}
-	carry := usable * scenarioWorkers * workerCapacity / 1000 * float64(s.now.Sub(start))
+	carry := usable * scenarioWorkers * workerCapacity / 1000 * float64(s.queue.Now.Sub(start))
 	r := Result{
 		BatchShare: float64(s.Busy()-s.Wasted) / carry,
 		Evictions:  s.Observer.Evictions, Doubled: s.Observer.Doubled, LateStarts: s.Observer.LateStarts,
@@ -192,44 +194,9 @@
 		if first, ok := s.Observer.FirstStart[id]; ok {
 			waits = append(waits, first.Sub(at))
 		} else if s.Accepted[id] {
-			waits = append(waits, s.now.Sub(at))
+			waits = append(waits, s.queue.Now.Sub(at))
 		}
 	}
 	r.UrgentWait = percentile(waits, 0.99)
 	return r
 }
-
-// firstFit takes the first worker with room, in the order in which workers
-// became known.
-type firstFit struct {
-	order []sched.InstanceID
-	free  map[sched.InstanceID]sched.Resources
-}
-
-// Set implements plan.Finder.
-func (f *firstFit) Set(id sched.InstanceID, _ string, free sched.Resources) {
-	if _, known := f.free[id]; !known {
-		f.order = append(f.order, id)
-	}
-	f.free[id] = free
-}
-
-// Remove implements plan.Finder.
-func (f *firstFit) Remove(id sched.InstanceID) {
-	if _, known := f.free[id]; known {
-		f.free[id] = sched.Resources{}
-	}
-}
-
-// Count implements plan.Finder.
-func (f *firstFit) Count(_, _, _ string, _ int) {}
-
-// Find implements plan.Finder.
-func (f *firstFit) Find(t *sched.Task) (sched.InstanceID, bool) {
-	for _, id := range f.order {
-		if t.Needs.Fits(f.free[id]) {
-			return id, true
-		}
-	}
-	return "", false
-}
--- a/internal/bench/batch/sim.go
+++ b/internal/bench/batch/sim.go
@@ -1,10 +1,11 @@
 package batch
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/bench/vtime"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/ledger"
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
@@ -59,9 +60,7 @@
 type Sim struct {
 	config Config
 	random *rand.Rand
-	now    time.Time
-	queue  events
-	count  uint64
+	queue  vtime.Queue
 
 	// Faults may be changed between calls of Run.
 	Faults Faults
@@ -108,7 +107,7 @@
 		c.Tick = 100 * time.Millisecond
 	}
 	s := &Sim{
-		config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), now: start,
+		config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), queue: vtime.Queue{Now: start},
 		judge: ledger.New(), workers: map[sched.InstanceID]*worker{},
 		checkpoints: map[sched.CheckpointID]time.Duration{},
 		Observer:    newObserver(), Accepted: map[sched.TaskID]bool{}, Replies: map[sched.Code]int{},
@@ -125,7 +124,7 @@
 }
 
 // Now returns the virtual time.
-func (s *Sim) Now() time.Time { return s.now }
+func (s *Sim) Now() time.Time { return s.queue.Now }
 
 // Random returns the simulation's source, for scenarios.
 func (s *Sim) Random() *rand.Rand { return s.random }
@@ -138,19 +137,13 @@
 
 // Run lets virtual time pass.
 func (s *Sim) Run(d time.Duration) {
-	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.do()
-	}
-	s.now = end
+	end := s.queue.Now.Add(d)
+	s.queue.Run(end)
 }
 
 // After calls f after d.
 func (s *Sim) After(d time.Duration, f func()) {
-	s.count++
-	heap.Push(&s.queue, event{s.now.Add(d), s.count, f})
+	s.queue.After(d, f)
 }
 
 // chance draws an event of the given probability.
@@ -203,37 +196,3 @@
 	}
 	return p, true
 }
-
-type event struct {
-	at  time.Time
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-// Len implements heap.Interface.
-func (e events) Len() int { return len(e) }
-
-// Less implements heap.Interface.
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].seq < e[j].seq
-}
-
-// Swap implements heap.Interface.
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(v any) { *e = append(*e, v.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	o := *e
-	v := o[len(o)-1]
-	o[len(o)-1] = event{}
-	*e = o[:len(o)-1]
-	return v
-}
--- a/internal/bench/batch/worker.go
+++ b/internal/bench/batch/worker.go
@@ -45,7 +45,7 @@
 }
 
 func newWorker(s *Sim, m sched.Member) *worker {
-	w := &worker{sim: s, member: m, partitioned: map[int]bool{}, busyFrom: s.now}
+	w := &worker{sim: s, member: m, partitioned: map[int]bool{}, busyFrom: s.queue.Now}
 	w.restart()
 	return w
 }
@@ -75,11 +75,11 @@
 
 // account adds up the time in which processors were held.
 func (w *worker) account() {
-	w.busy += float64(w.used.Processors) * float64(w.sim.now.Sub(w.busyFrom))
-	w.busyFrom = w.sim.now
+	w.busy += float64(w.used.Processors) * float64(w.sim.queue.Now.Sub(w.busyFrom))
+	w.busyFrom = w.sim.queue.Now
 }
 
-func (w *worker) clock() time.Time { return w.sim.now.Add(w.offset) }
+func (w *worker) clock() time.Time { return w.sim.queue.Now.Add(w.offset) }
 
 // receive executes a call and returns the report.
 func (w *worker) receive(c sched.WorkerCall) (sched.WorkerReport, bool) {
@@ -206,7 +206,7 @@
 
 func (w *worker) start(k attemptKey, a *attempt) {
 	w.account()
-	a.state, a.began = sched.AttemptRunning, w.sim.now
+	a.state, a.began = sched.AttemptRunning, w.sim.queue.Now
 	a.before = w.sim.checkpoints[a.command.Checkpoint]
 	a.work = w.sim.config.Truth(k.task, a.command.TaskKind, w.member.ID)
 	a.work.Fails = a.work.Fails || w.failing
@@ -235,11 +235,11 @@
 	})
 }
 
-func (w *worker) progress(a *attempt) time.Duration { return a.before + w.sim.now.Sub(a.began) }
+func (w *worker) progress(a *attempt) time.Duration { return a.before + w.sim.queue.Now.Sub(a.began) }
 
 // waste adds up work that is lost.
 func (w *worker) waste(a *attempt) {
-	w.sim.Wasted += w.sim.now.Sub(a.began) * time.Duration(a.command.Needs.Processors) / 1000
+	w.sim.Wasted += w.sim.queue.Now.Sub(a.began) * time.Duration(a.command.Needs.Processors) / 1000
 }
 
 // end moves an attempt to a state in which it never runs again.
--- a/internal/bench/flood/fleet.go
+++ b/internal/bench/flood/fleet.go
@@ -1,7 +1,6 @@
 package flood
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -49,55 +48,6 @@
 	return regionLatency
 }
 
-// event is a step at a virtual time; number keeps the order of equal times.
-type event struct {
-	at     time.Time
-	number int
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].number < e[j].number
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
-// queue is the virtual time.
-type queue struct {
-	now    time.Time
-	events events
-	number int
-}
-
-func (q *queue) after(d time.Duration, do func()) {
-	q.number++
-	heap.Push(&q.events, event{q.now.Add(d), q.number, do})
-}
-
-func (q *queue) run(until time.Time) {
-	for len(q.events) > 0 && !q.events[0].at.After(until) {
-		e := heap.Pop(&q.events).(event)
-		q.now = e.at
-		e.do()
-	}
-}
-
 // worker is a fake backend server with slots. It refuses when all are busy.
 type worker struct {
 	member sched.Member
--- a/internal/bench/flood/run.go
+++ b/internal/bench/flood/run.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/bench/vtime"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/admit"
 	"github.com/parsleybarrow/parsleybarrow/pkg/conns"
 	"github.com/parsleybarrow/parsleybarrow/pkg/retry"
@@ -113,7 +115,7 @@
 }
 
 type run struct {
-	queue
+	vtime.Queue
 	scenario  Scenario
 	variant   Variant
 	random    *rand.Rand
@@ -136,8 +138,8 @@
 		scenario: s, variant: v, random: rand.New(rand.NewPCG(seed, seed)), workers: makeWorkers(workers),
 		byID: map[sched.InstanceID]*worker{},
 	}
-	r.now = time.Unix(1_800_000_000, 0)
-	r.begin = r.now.Add(warmUp)
+	r.Now = time.Unix(1_800_000_000, 0)
+	r.begin = r.Now.Add(warmUp)
 	var members []sched.Member
 	for _, w := range r.workers {
 		r.byID[w.member.ID] = w
@@ -157,11 +159,11 @@
 	if s.Flood != 0 {
 		r.arrivals(s.Flood, capacity*floodFactor, warmUp/2)
 	}
-	r.after(warmUp/2, r.fault)
+	r.After(warmUp/2, r.fault)
 	if v.Sharing == SharingDemand {
-		r.after(time.Second, r.share)
+		r.After(time.Second, r.share)
 	}
-	r.run(r.begin.Add(measured))
+	r.Run(r.begin.Add(measured))
 	return r.report()
 }
 
@@ -188,9 +190,9 @@
 	var next func()
 	next = func() {
 		r.arrive(u)
-		r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), next)
+		r.After(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
-	r.after(from, next)
+	r.After(from, next)
 }
 
 // choose is the load balancer: it knows dead instances only after a while, so
@@ -208,7 +210,7 @@
 }
 
 func (r *run) arrive(u sched.Urgency) {
-	c := &call{class: u, once: r.random.Float64() < unrepeatable, start: r.now, end: r.now.Add(deadlines[u])}
+	c := &call{class: u, once: r.random.Float64() < unrepeatable, start: r.Now, end: r.Now.Add(deadlines[u])}
 	r.enter(c)
 }
 
@@ -218,12 +220,12 @@
 	c.ticket = &admit.Ticket{
 		Service: service, Partner: "tunog", Urgency: c.class, Bytes: requestBytes, Deadline: c.end,
 	}
-	r.after(c.end.Sub(r.now), func() { r.expire(c) })
+	r.After(c.end.Sub(r.Now), func() { r.expire(c) })
 	if r.variant.Baseline {
 		r.send(c)
 		return
 	}
-	o := c.at.control.Offer(c.ticket, r.now)
+	o := c.at.control.Offer(c.ticket, r.Now)
 	if o.Displaced != nil {
 		r.finish(c.at.waiting[o.Displaced], sched.OutcomeRefusedNotRun)
 	}
@@ -244,7 +246,7 @@
 	}
 	c.ended = true
 	delete(c.at.waiting, c.ticket)
-	if r.now.After(r.begin) {
+	if r.Now.After(r.begin) {
 		r.offered[c.class]++
 		if c.sends > 0 {
 			r.accepted++
@@ -253,7 +255,7 @@
 		switch o {
 		case sched.OutcomeAnswered:
 			r.answered[c.class]++
-			r.took[c.class] = append(r.took[c.class], r.now.Sub(c.start))
+			r.took[c.class] = append(r.took[c.class], r.Now.Sub(c.start))
 		case sched.OutcomeUnknown:
 			r.unknown++
 		case sched.OutcomeRefusedNotRun, sched.OutcomeFailed:
@@ -263,7 +265,7 @@
 		return
 	}
 	c.at.control.Cancel(c.ticket)
-	for _, t := range c.at.control.Release(c.ticket, r.now) {
+	for _, t := range c.at.control.Release(c.ticket, r.Now) {
 		r.send(c.at.waiting[t])
 	}
 }
--- a/internal/bench/flood/send.go
+++ b/internal/bench/flood/send.go
@@ -21,19 +21,19 @@
 	}
 	p, none := c.at.router.Pick(route.Query{
 		Service: service, Urgency: c.class, RequestBytes: requestBytes, Tried: c.tried,
-	}, r.now)
+	}, r.Now)
 	if p != nil {
 		r.exchange(c, p)
 		return
 	}
 	c.looks++
 	c.tried = nil
-	wait, ok := c.at.retry.Pause(c.looks, r.now, c.end)
+	wait, ok := c.at.retry.Pause(c.looks, r.Now, c.end)
 	if !ok || none == sched.CodeNoBackend {
 		r.expire(c)
 		return
 	}
-	r.after(wait, func() { r.send(c) })
+	r.After(wait, func() { r.send(c) })
 }
 
 // exchange is one request on one connection.
@@ -43,8 +43,8 @@
 	if c.sends == 1 {
 		i.retry.Request()
 	}
-	k := l.take(r.now)
-	l.tracker.Sent(k.track, r.now)
+	k := l.take(r.Now)
+	l.tracker.Sent(k.track, r.Now)
 	ended := false
 	back := func(s sched.SendResult) {
 		if ended || i.dead {
@@ -52,7 +52,7 @@
 		}
 		ended = true
 		if !r.variant.Baseline {
-			i.router.Done(p, s, 2*requestBytes, r.now)
+			i.router.Done(p, s, 2*requestBytes, r.Now)
 		}
 		r.judge(c, w, s)
 	}
@@ -60,7 +60,7 @@
 		l.discard(k)
 		back(sched.SendResult{Outcome: sched.OutcomeUnknown, FreeSlots: -1, Silent: true})
 	}
-	r.after(c.end.Sub(r.now), func() {
+	r.After(c.end.Sub(r.Now), func() {
 		if !ended {
 			l.discard(k)
 			back(sched.SendResult{Outcome: sched.OutcomeUnknown, FreeSlots: -1})
@@ -72,7 +72,7 @@
 	}
 	far := latency(i.centre, w.member.DataCentre)
 	c.maybe = true
-	r.after(far, func() { r.work(w, far, func(s sched.SendResult) { r.reply(l, k, &ended, s, back) }) })
+	r.After(far, func() { r.work(w, far, func(s sched.SendResult) { r.reply(l, k, &ended, s, back) }) })
 }
 
 // reply brings an answer back and judges the siblings of its connection.
@@ -80,7 +80,7 @@
 	if *ended || k.hung {
 		return
 	}
-	silent := l.tracker.Finished(k.track, r.now)
+	silent := l.tracker.Finished(k.track, r.Now)
 	l.idle = append(l.idle, k)
 	back(s)
 	if r.variant.Baseline {
@@ -96,18 +96,18 @@
 // work is the worker's side.
 func (r *run) work(w *worker, far time.Duration, reply func(sched.SendResult)) {
 	if w.busy >= slots {
-		r.after(far, func() { reply(sched.SendResult{Outcome: sched.OutcomeRefusedNotRun}) })
+		r.After(far, func() { reply(sched.SendResult{Outcome: sched.OutcomeRefusedNotRun}) })
 		return
 	}
 	w.busy++
 	t := w.serviceTime(r.random)
-	if r.now.After(r.begin) {
+	if r.Now.After(r.begin) {
 		r.busyTime += t
 	}
-	r.after(t, func() {
+	r.After(t, func() {
 		w.busy--
 		free := slots - w.busy
-		r.after(far, func() { reply(sched.SendResult{Outcome: sched.OutcomeAnswered, FreeSlots: free}) })
+		r.After(far, func() { reply(sched.SendResult{Outcome: sched.OutcomeAnswered, FreeSlots: free}) })
 	})
 }
 
@@ -151,12 +151,12 @@
 		budget = c.at.retry.Retry
 	}
 	c.tried = append(c.tried, w.member.ID)
-	wait, ok := budget(c.sends, r.now, c.end)
+	wait, ok := budget(c.sends, r.Now, c.end)
 	if !ok {
 		r.expire(c)
 		return
 	}
-	r.after(wait, func() { r.send(c) })
+	r.After(wait, func() { r.send(c) })
 }
 
 // fault begins the fault of the scenario.
@@ -192,5 +192,5 @@
 		i.control.SetCapacity(service, all, max(1, all*i.demand/max(sum, 1)))
 		i.demand = 0
 	}
-	r.after(time.Second, r.share)
+	r.After(time.Second, r.share)
 }
--- a/internal/bench/mixed/baseline.go
+++ b/internal/bench/mixed/baseline.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/bench/naive"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/plan"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -16,7 +18,7 @@
 // newest task of a worker whose service exceeds its goal in the last report.
 func Baseline() Policy {
 	return Policy{"baseline", func(o *plan.Options, s Scenario) {
-		o.NewFinder = func(*rand.Rand) plan.Finder { return &firstFit{free: map[sched.InstanceID]sched.Resources{}} }
+		o.NewFinder = func(*rand.Rand) plan.Finder { return naive.New() }
 		o.Cost = func(v plan.Victim) float64 { return -float64(v.Rank) }
 		o.NoHold = true
 		o.Interference = &evictNewest{scenario: s, firstSeen: map[place]time.Time{}}
@@ -77,38 +79,3 @@
 	e.actions = nil
 	return a
 }
-
-// firstFit takes the first worker with room, in the order in which workers
-// became known.
-type firstFit struct {
-	order []sched.InstanceID
-	free  map[sched.InstanceID]sched.Resources
-}
-
-// Set implements plan.Finder.
-func (f *firstFit) Set(id sched.InstanceID, _ string, free sched.Resources) {
-	if _, known := f.free[id]; !known {
-		f.order = append(f.order, id)
-	}
-	f.free[id] = free
-}
-
-// Remove implements plan.Finder.
-func (f *firstFit) Remove(id sched.InstanceID) {
-	if _, known := f.free[id]; known {
-		f.free[id] = sched.Resources{}
-	}
-}
-
-// Count implements plan.Finder.
-func (f *firstFit) Count(_, _, _ string, _ int) {}
-
-// Find implements plan.Finder.
-func (f *firstFit) Find(t *sched.Task) (sched.InstanceID, bool) {
-	for _, id := range f.order {
-		if t.Needs.Fits(f.free[id]) {
-			return id, true
-		}
-	}
-	return "", false
-}
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -144,6 +144,17 @@
 	is.True(!w.Drained)
 }
 
+// startTasks submits n tasks of four minutes and waits until they run.
+func startTasks(t *testing.T, s *batch.Sim, n int) {
+	t.Helper()
+	s.Run(2 * time.Second)
+	for i := range n {
+		s.Submit(1, task(fmt.Sprintf("task-%d", i), 4000))
+	}
+	s.Run(3 * time.Second)
+	is.New(t).Equal(s.Observer.Starts, n)
+}
+
 // Guards against leases that run out because the role returns to a planner
 // that lost its term during a pause, and that planner waits although the other
 // one has ended its own.
@@ -152,16 +163,11 @@
 	cfg := config(1, 2, 4)
 	cfg.Truth = truth(4 * time.Minute)
 	s := batch.New(cfg)
+	const n = 16
 	yes, no := true, false
 	s.MisleadHost(0, &yes)
 	s.MisleadHost(1, &no)
-	s.Run(2 * time.Second)
-	const n = 16
-	for i := range n {
-		s.Submit(1, task(fmt.Sprintf("task-%d", i), 4000))
-	}
-	s.Run(3 * time.Second)
-	is.Equal(s.Observer.Starts, n)
+	startTasks(t, s, n)
 	s.PauseHost(0, 6*time.Second)
 	s.Run(5 * time.Second)
 	s.MisleadHost(1, &yes) // silence and hysteresis have passed
@@ -179,16 +185,11 @@
 	cfg := config(1, 2, 4)
 	cfg.Truth = truth(4 * time.Minute)
 	s := batch.New(cfg)
+	const n = 16
 	yes, no := true, false
 	s.MisleadHost(0, &no)
 	s.MisleadHost(1, &yes)
-	s.Run(2 * time.Second)
-	const n = 16
-	for i := range n {
-		s.Submit(1, task(fmt.Sprintf("task-%d", i), 4000))
-	}
-	s.Run(3 * time.Second)
-	is.Equal(s.Observer.Starts, n)
+	startTasks(t, s, n)
 	s.MisleadHost(1, &no)
 	s.MisleadHost(0, &yes)
 	s.Run(4 * time.Second)
