--- a/internal/process/cli/folder.go
+++ b/internal/process/cli/folder.go
@@ -131,6 +131,10 @@
 	if err := client(at).Get(c, "/status", nil, &s); err != nil {
 		return nil, err
 	}
+	if !s.Ready {
+		// An instance that has just started may not know its peers.
+		return nil, fmt.Errorf("instance %s is not ready: %s", s.Instance, s.Reason)
+	}
 	out := []apply.Report{{Instance: sched.InstanceID(s.Instance), State: stateOf[s.State], Version: sched.Offset(s.Version)}}
 	for _, q := range s.Peers {
 		out = append(out, apply.Report{
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -45,9 +45,11 @@
 	logAt   time.Time
 	logUp   bool
 	listUp  bool
-	sampled time.Time
-	usageAt sched.Offset
-	states  map[sched.InstanceID]sched.State
+	// listSeen is set by the first successful read of the list.
+	listSeen bool
+	sampled  time.Time
+	usageAt  sched.Offset
+	states   map[sched.InstanceID]sched.State
 }
 
 // message is what the actor receives.
@@ -161,9 +163,13 @@
 	v.planner = c.planner(v.members)
 	v.ready, v.reason = c.readiness(now)
 	v.queued, v.placed = c.plan.queued, c.plan.placed
-	c.d.view.Store(v)
 	if old.members != v.members {
 		c.route(v)
+	}
+	// The view tells callers that the instance is ready, so the routes come
+	// first.
+	c.d.view.Store(v)
+	if old.members != v.members {
 		c.peerStates(v)
 	}
 	c.announce(old, v)
@@ -177,6 +183,8 @@
 		return false, reasonNoConfig
 	case !c.versions.Ready(now):
 		return false, reasonCatchesUp
+	case !c.listSeen:
+		return false, reasonNoList
 	}
 	return true, ""
 }
--- a/internal/process/daemon/failure_test.go
+++ b/internal/process/daemon/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -216,3 +217,20 @@
 	all, err := h.Roster.Members(c)
 	return slices.DeleteFunc(all, func(m sched.Member) bool { return m.ID == "a" }), err
 }
+
+// Guards against an instance that says it is ready while it knows no backend
+// server, since it has not read the list yet.
+func TestNotReadyBeforeTheListIsRead(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.apply(rigConfig)
+	r.list.SetOutage(true)
+	a := r.start("a", 1)
+	r.until("configuration", func() bool { _, s := a.admin("/readyz"); return strings.Contains(s, "list of instances") })
+	status, _ := a.admin("/readyz")
+	i.Equal(status, http.StatusServiceUnavailable)
+	r.list.SetOutage(false)
+	r.ready(a)
+	status, _, _ = a.call(newID(), false)
+	i.Equal(status, http.StatusOK)
+}
--- a/internal/process/daemon/message.go
+++ b/internal/process/daemon/message.go
@@ -53,6 +53,7 @@
 	if m.err == nil {
 		c.table.List(now, m.members)
 		c.listRead(now, m.members)
+		c.listSeen = true
 	}
 	c.publish(now)
 }
--- a/internal/process/daemon/view.go
+++ b/internal/process/daemon/view.go
@@ -12,6 +12,7 @@
 const (
 	reasonNoConfig  = "no configuration in force: neither the log nor a peer has given one since the start"
 	reasonCatchesUp = "the configuration in force may be older than what peers or the log hold"
+	reasonNoList    = "the list of instances has not been read since the start, so no backend server is known"
 	reasonDraining  = "the instance is shutting down"
 )
 
