Match the layout on the design page with the packages

Cause: the page listed packages that were planned; others had been added. Conclusion: the page can't go stale unnoticed.

--- a/internal/process/cli/page_test.go
+++ b/internal/process/cli/page_test.go
@@ -1,7 +1,9 @@
 package cli_test
 
 import (
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -54,3 +56,38 @@
 		}
 	}
 }
+
+var treeLine = regexp.MustCompile(`(?m)^((?:cmd|pkg|internal)/\S+) `)
+
+// Guards against a picture of the layout that no longer matches the packages.
+func TestLayoutOnTheDesignPage(t *testing.T) {
+	const root = "../../../"
+	page, err := os.ReadFile(root + "docs/design.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	drawn := map[string]bool{}
+	for _, m := range treeLine.FindAllStringSubmatch(string(page), -1) {
+		drawn[m[1]] = true
+	}
+	for _, top := range []string{"cmd", "pkg", "internal"} {
+		err := filepath.WalkDir(root+top, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || filepath.Ext(path) != ".go" {
+				return err
+			}
+			name, err := filepath.Rel(root, filepath.Dir(path))
+			if err == nil && !drawn[filepath.ToSlash(name)] {
+				t.Errorf("%s is not on the page", name)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name := range drawn {
+		if files, err := filepath.Glob(root + name + "/*.go"); err != nil || len(files) == 0 {
+			t.Errorf("%s is on the page and has no package", name)
+		}
+	}
+}
