--- a/internal/process/daemon/rig_test.go
+++ b/internal/process/daemon/rig_test.go
@@ -41,6 +41,7 @@
 	list    *roster.Service
 	workers *worker.Pool
 	backend *backend
+	server  *httptest.Server
 	wait    sync.WaitGroup
 }
 
@@ -78,6 +79,7 @@
 		backend: &backend{runs: map[string]int{}, in: make(chan struct{}, 100)},
 	}
 	s := httptest.NewServer(r.backend)
+	r.server = s
 	r.list.PutNow(sched.Member{
 		ID: "backend", Role: sched.RoleBackend, State: sched.StateLive, Service: "echo", Region: "luzon",
 		DataCentre: "dc1", Address: s.Listener.Addr().String(), Slots: 8, Connections: 64,
