--- a/internal/process/load/send.go
+++ b/internal/process/load/send.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -41,7 +42,7 @@
 func (l *Load) send(r *rand.Rand, id string, once bool) sched.Outcome {
 	end := sched.OutcomeRefusedNotRun
 	for range sendTries {
-		switch o := l.sendOnce(r, id, once); o {
+		switch o := l.sendOnce(r, id, once, end == sched.OutcomeUnknown); o {
 		case sched.OutcomeAnswered, sched.OutcomeFailed:
 			return o
 		case sched.OutcomeUnknown:
@@ -54,7 +55,7 @@
 	return end
 }
 
-func (l *Load) sendOnce(r *rand.Rand, id string, once bool) sched.Outcome {
+func (l *Load) sendOnce(r *rand.Rand, id string, once, repeat bool) sched.Outcome {
 	at := l.pick(r)
 	if at == "" {
 		return sched.OutcomeRefusedNotRun
@@ -72,6 +73,7 @@
 	q.Header.Set(sched.HeaderRequestID, id)
 	if once {
 		q.Header.Set(sched.HeaderUnrepeatable, "true")
+		q.Header.Set(sched.HeaderRepeat, strconv.FormatBool(repeat))
 	}
 	a, err := l.HTTP.Do(q)
 	if err != nil {
--- a/pkg/sched/request.go
+++ b/pkg/sched/request.go
@@ -14,8 +14,9 @@
 	HeaderPartner      = "Parsley-Partner"
 	HeaderTeam         = "Parsley-Team"
 	HeaderUnrepeatable = "Parsley-Unrepeatable"
-	// HeaderRepeat is "true" on every send of an unrepeatable id after the
-	// first one. A refusal then says "not run" only if no earlier send ran.
+	// HeaderRepeat is "true" on a send of an unrepeatable id that was sent
+	// before and not refused as not run. A refusal then says "not run" only if
+	// no earlier send ran.
 	HeaderRepeat = "Parsley-Repeat"
 	// HeaderDeadline is the caller's deadline in milliseconds from now.
 	HeaderDeadline = "Parsley-Deadline-Millis"
