--- a/internal/process/daemon/partition_test.go
+++ b/internal/process/daemon/partition_test.go
@@ -34,14 +34,16 @@
 	for _, c := range []struct {
 		name               string
 		log, peers, server bool // what is cut off
+		oneWay             bool // the peers still reach the instance
 		repeatable         string
 		once               string
 		task               int
 	}{
-		{"from the platform", true, false, false, "100", "416", 503},
-		{"from the other data centres", false, true, false, "100", "100", 202},
-		{"from the platform and everyone outside", true, true, false, "100", "416", 503},
-		{"an instance from all", true, true, true, "410", "416", 503},
+		{"from the platform", true, false, false, false, "100", "416", 503},
+		{"from the other data centres", false, true, false, false, "100", "100", 202},
+		{"from the other data centres, one way", false, true, false, true, "100", "100", 202},
+		{"from the platform and everyone outside", true, true, false, false, "100", "416", 503},
+		{"an instance from all", true, true, true, false, "410", "416", 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			i := is.New(t)
@@ -52,7 +54,11 @@
 					d.PeerCall = cutPeers{}
 				}
 			}
-			a, b := r.start("a", 1, cut), r.start("b", 1, cut)
+			cutToo := cut
+			if c.oneWay {
+				cutToo = func(*daemon.Daemon) {}
+			}
+			a, b := r.start("a", 1, cut), r.start("b", 1, cutToo)
 			r.ready(a)
 			r.ready(b)
 			r.claims(a)
--- a/pkg/retry/policy.go
+++ b/pkg/retry/policy.go
@@ -52,15 +52,10 @@
 func (p *Policy) Retry(sends int, now, deadline time.Time) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.share <= 0 || p.tokens < 1 {
+	if p.share <= 0 {
 		return 0, false
 	}
-	d := p.delay(sends)
-	if !now.Add(d + leastSendTime).Before(deadline) {
-		return 0, false
-	}
-	p.tokens--
-	return d, true
+	return p.spend(&p.tokens, sends, now, deadline)
 }
 
 // Resend returns the wait before a request that certainly did not run is sent
@@ -69,14 +64,19 @@
 func (p *Policy) Resend(sends int, now, deadline time.Time) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.resends < 1 {
+	return p.spend(&p.resends, sends, now, deadline)
+}
+
+// spend takes one send from a budget. The caller holds the lock.
+func (p *Policy) spend(budget *float64, sends int, now, deadline time.Time) (time.Duration, bool) {
+	if *budget < 1 {
 		return 0, false
 	}
 	d := p.delay(sends)
 	if !now.Add(d + leastSendTime).Before(deadline) {
 		return 0, false
 	}
-	p.resends--
+	*budget--
 	return d, true
 }
 
