Never queue a task again because its unstarted copy was given up

Cause: completeTask stopped the copies of a task before it marked the task as done. A copy that was placed and not yet ordered is given up at once by that stop; loseRun then saw a task that wasn't done and had no run, and queued it. Change: the task is marked as done first. A pass of placement also drops tasks from the waiting list that are done or have a run, whatever queued them.

--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -29,7 +29,8 @@
 	rest := p.waitingSteps[:0]
 	full := map[roomNeed]bool{}
 	for _, w := range p.waitingSteps {
-		if w.job.State.Final() {
+		w.dropSettled()
+		if w.job.State.Final() || len(w.tasks) == 0 {
 			continue
 		}
 		if n := roomNeedOf(w); !full[n] {
@@ -44,6 +45,13 @@
 	p.waitingSteps = rest
 }
 
+// dropSettled takes the tasks off the waiting list that are done or have a run. Only
+// tasks without either may be placed, whatever queued them.
+func (w *waitingStep) dropSettled() {
+	tasks := w.occurrence.Steps[w.step].Tasks
+	w.tasks = slices.DeleteFunc(w.tasks, func(k int) bool { return tasks[k].Done || len(tasks[k].Runs) > 0 })
+}
+
 // roomNeed is what decides whether a worker has room for a task of a step. If a
 // pass finds no room for one step, it skips the others with the same roomNeed.
 type roomNeed struct {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -130,10 +131,13 @@
 	}
 	t := j.Task(r)
 	o := j.Occurrences[r.Occurrence]
-	for _, x := range t.Runs {
+	// The task is marked as done before its copies are stopped: a copy that was
+	// never started is given up at once, and must not make the task wait again.
+	opened := j.Finish(now, r)
+	for _, x := range slices.Clone(t.Runs) {
 		p.stopRun(now, r, x.Number, x.Worker)
 	}
-	for _, s := range j.Finish(now, r) {
+	for _, s := range opened {
 		p.enqueueStep(j, o, s)
 	}
 	if j.State.Final() {
