Have other instances carry out the orders of a planner with many workers

Cause: one process made all calls of 890 workers: about 2,900 HTTP calls a second at 170 us each, with 4,975 connections and 220 MB. Its processor time was the limit of the whole site while 96 instances were idle. Change: package agent. A planner of 128 workers or more (--agents-from) sends its orders in batches over one stream to an instance in the worker's data centre (one for every 192 workers), which makes the calls and sends the answers back in batches. Agents decide nothing and keep no state; tokens, run numbers and leases are the planner's. A silent agent counts as lost after 350 ms: its orders count as without an answer, lease orders are sent again directly, and the instance isn't used for 4 s. A worker that an agent doesn't reach is called directly for 5 s. A stopping instance tells its planners.

--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -27,6 +27,7 @@
 // addresses and limits in a settings file.
 type entryCmd struct {
 	WorkersPerCell int    `default:"512" min:"1" max:"10000" help:"Workers for which one cell is laid out, at the first start of the system."`
+	AgentsFrom     int    `default:"128" min:"0" max:"10000" help:"Workers of a cell from which on other instances carry out its planner's orders; 0 for never."`
 	LogLevel       string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to log: debug, info, warn or error."`
 }
 
@@ -109,6 +110,7 @@
 		Clock:          k,
 		Log:            l.With(zap.String("instance", string(s.ID))),
 		WorkersPerCell: x.WorkersPerCell,
+		AgentsFrom:     x.AgentsFrom,
 	}
 	e.Reload(plannerOptions(s), s.Bounds.Grace)
 	parts := []struct {
--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/agent"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
@@ -75,8 +76,13 @@
 // term has ended or couldn't begin.
 func (k *cellController) runTerm(c context.Context, from peers.Planner) {
 	e := k.entry
+	agents := &agent.Pool{
+		Direct: e.Runner, HTTP: e.PeerClient, Instances: e.directory.Instances, MinWorkers: e.AgentsFrom, Clock: e.Clock,
+		Log: e.Log.With(zap.Int("cell", k.number)),
+	}
+	defer agents.Close()
 	l := &lead.Leader{
-		Cell: k.number, Store: e.Store, Runner: e.Runner, Advisor: e.Advisor, Clock: e.Clock, Log: e.Log,
+		Cell: k.number, Store: e.Store, Runner: agents, Advisor: e.Advisor, Clock: e.Clock, Log: e.Log,
 		Options:     e.settings.Load().options,
 		Term:        lead.Term{ID: e.Self.ID, Incarnation: e.Self.Incarnation, Address: e.Self.Address},
 		Predecessor: lead.Term{ID: from.ID, Incarnation: from.Incarnation, Number: from.Term},
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/agent"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/follow"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/meter"
@@ -53,6 +54,9 @@
 	// WorkersPerCell is the number of workers per cell from which the number of
 	// cells is derived at the first start.
 	WorkersPerCell int
+	// AgentsFrom is the number of workers of a cell from which on its planner has
+	// other instances carry out its orders. With 0 it never has.
+	AgentsFrom int
 
 	directory   *peers.Directory
 	relay       *relay.Client
@@ -210,9 +214,9 @@
 
 // PeerHandler returns the handler for calls of other instances.
 func (e *Entry) PeerHandler() http.Handler {
-	path, calls := relay.Handler(localPlanners{e})
 	m := http.NewServeMux()
-	m.Handle(path, calls)
+	m.Handle(relay.Handler(localPlanners{e}))
+	m.Handle(agent.Handler(e.Runner, e.Clock, e.leaving.Load))
 	return m
 }
 
