Answer every call before a stopping instance ends; test agents under faults

A call that a client had sent seconds after SIGTERM on an open connection, and that waited for a planner, was cut off without an answer. Change: when the drain is over, the contexts of the calls end, each is answered with what is known by then (not run, or unknown), and the servers shut down before they are closed. The margin before SIGKILL is 1 s (0.7 s before).

Entry.Serving says when calls may come. The instance for a caller's call is drawn from a seeded source.

The emulated site carries streams, held up by cuts and freezes, and TestSiteWithAgentsUnderFaults plays all faults with agents (AgentsFrom 2).

--- a/internal/emu/site/site.go
+++ b/internal/emu/site/site.go
@@ -27,6 +27,9 @@
 	Log     *zap.Logger
 	// WorkersPerCell is the number of workers that the instances put in a cell.
 	WorkersPerCell int
+	// AgentsFrom is the number of workers of a cell from which on other instances
+	// carry out its planner's orders.
+	AgentsFrom int
 	// Delay is the one-way delay between two instances, and to the platform.
 	Delay time.Duration
 
@@ -78,6 +81,7 @@
 		PeerClient: &http.Client{Transport: &peerTransport{s, p}},
 		Store:      side, Registry: side, Runner: side, Clock: s.World.Clock,
 		Log: s.Log.With(zap.String("instance", string(id))), WorkersPerCell: s.WorkersPerCell,
+		AgentsFrom: s.AgentsFrom,
 	}
 	e.Reload(s.Options, 3*time.Second)
 	p.entry = e
@@ -139,7 +143,7 @@
 func (s *Site) Desk(id sched.InstanceID) sched.JobService {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.processes[id]; p != nil && !p.dead {
+	if p := s.processes[id]; p != nil && !p.dead && p.entry.Serving() {
 		return p.entry
 	}
 	return nil
@@ -152,7 +156,7 @@
 	defer s.mu.Unlock()
 	var planner sched.InstanceID
 	for id, p := range s.processes {
-		if p.dead || !p.entry.Plans(cell) {
+		if p.dead || !p.entry.Serving() || !p.entry.Plans(cell) {
 			continue
 		}
 		if planner != "" {
@@ -186,6 +190,9 @@
 			return nil, r.Context().Err()
 		}
 	}
+	if r.ContentLength < 0 {
+		return w.openStream(r, to), nil
+	}
 	answer := httptest.NewRecorder()
 	to.entry.PeerHandler().ServeHTTP(answer, r)
 	if err := w.delay(r.Context()); err != nil {
@@ -222,7 +229,7 @@
 		}
 	}
 	dead, cut := w.from.dead, to != nil && s.cuts[[2]sched.InstanceID{w.from.id, to.id}]
-	gone := to == nil || to.dead
+	gone := to == nil || to.dead || !to.entry.Serving()
 	s.mu.Unlock()
 	switch {
 	case dead || cut:
--- a/internal/emu/site/site_test.go
+++ b/internal/emu/site/site_test.go
@@ -54,9 +54,12 @@
 	workers   int
 	cells     int
 	random    *rand.Rand
-	world     *world.World
-	site      *site.Site
-	caller    *load.Caller
+	// deskRandom draws the instance for each call of a caller. deskMu guards it.
+	deskMu     sync.Mutex
+	deskRandom *rand.Rand
+	world      *world.World
+	site       *site.Site
+	caller     *load.Caller
 }
 
 func newTrial(seed uint64) *trial {
@@ -77,6 +80,7 @@
 
 func newSizedTrial(seed uint64, instances, workers, cells int) *trial {
 	t := &trial{seed: seed, instances: instances, workers: workers, cells: cells, guards: true}
+	t.deskRandom = rand.New(rand.NewPCG(seed, 5))
 	t.world = &world.World{
 		Clock: clock.System{}, Seed: seed, Heartbeat: 1100 * time.Millisecond, Retention: 20 * time.Second,
 		Rules: work.Rules{
@@ -124,6 +128,10 @@
 
 func worker(n int) sched.InstanceID { return sched.InstanceID(fmt.Sprint("w", n)) }
 
+// useAgents has the planner of a cell with more than one worker give its orders
+// through other instances.
+func (t *trial) useAgents() { t.site.AgentsFrom = 2 }
+
 // begin starts the world and all instances. It returns the context of the world,
 // its cancel function, and a wait group for the world and the callers.
 func (t *trial) begin() (context.Context, context.CancelFunc, *sync.WaitGroup) {
@@ -172,7 +180,10 @@
 // desk returns a random running instance, nil if none was found.
 func (t *trial) desk() sched.JobService {
 	for range t.instances {
-		if d := t.site.Desk(instance(rand.IntN(t.instances))); d != nil {
+		t.deskMu.Lock()
+		n := t.deskRandom.IntN(t.instances)
+		t.deskMu.Unlock()
+		if d := t.site.Desk(instance(n)); d != nil {
 			return d
 		}
 	}
@@ -277,6 +288,22 @@
 	}
 }
 
+// Guards against the same faults where other instances carry out the planners' orders:
+// an agent that is killed, frozen, cut off or stopped must not lose an order, carry one
+// out that is void, or keep workers out of use.
+func TestSiteWithAgentsUnderFaults(t *testing.T) {
+	first, last := seeds()
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newTrial(seed)
+				x.useAgents()
+				x.check(t, x.plan())
+			})
+		})
+	}
+}
+
 // Guards against findings of the audit and jobs that don't end in a site without
 // faults.
 func TestSiteOnACalmDay(t *testing.T) {
--- a/internal/process/agent/link.go
+++ b/internal/process/agent/link.go
@@ -68,7 +68,7 @@
 }
 
 // openLink opens a stream to an instance. onEnd is called when the link has ended.
-func openLink(c context.Context, web *http.Client, to peers.Instance, k sched.Clock, log *zap.Logger, onEnd func(*link)) *link {
+func openLink(c context.Context, web *http.Client, to peers.Instance, k sched.Clock, log *zap.Logger, onEnd func()) *link {
 	l := &link{
 		to: to, clock: k, log: log, ready: make(chan struct{}), done: make(chan struct{}),
 		pending: map[uint64]*call{}, filled: make(chan struct{}, 1),
@@ -76,7 +76,7 @@
 	go func() {
 		err := l.run(c, web)
 		l.end(err, c.Err() != nil)
-		onEnd(l)
+		onEnd()
 	}()
 	return l
 }
--- a/internal/process/agent/pool.go
+++ b/internal/process/agent/pool.go
@@ -52,7 +52,7 @@
 	Log        *zap.Logger
 
 	mu      sync.Mutex
-	context context.Context //nolint:containedctx // of the streams, which outlive the calls
+	context context.Context // of the streams, which outlive the calls
 	cancel  context.CancelFunc
 	workers map[sched.InstanceID]*workerPath
 	// counts holds the number of workers of each data centre.
@@ -301,7 +301,7 @@
 // openLink opens a link to an instance. p.mu must be held.
 func (p *Pool) openLink(i peers.Instance) *link {
 	p.open.Add(1)
-	l := openLink(p.context, p.HTTP, i, p.Clock, p.Log, func(l *link) {
+	l := openLink(p.context, p.HTTP, i, p.Clock, p.Log, func() {
 		defer p.open.Done()
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -90,11 +90,9 @@
 	x, cancel := context.WithCancel(c)
 	defer cancel()
 	o := &outbox{filled: make(chan struct{}, 1)}
-	received := make(chan error, 1)
 	go func() {
-		err := s.receive(x, stream, o)
-		cancel()
-		received <- err
+		defer cancel()
+		s.receive(x, stream, o)
 	}()
 	alive := time.NewTicker(aliveInterval)
 	defer alive.Stop()
@@ -103,24 +101,24 @@
 			return err
 		}
 		if s.clock.Sleep(x, batchInterval) != nil {
-			return <-received
+			return nil
 		}
 		select {
 		case <-o.filled:
 		case <-alive.C:
 		case <-x.Done():
-			return <-received
+			return nil
 		}
 	}
 }
 
 // receive takes batches and has each order carried out by a goroutine of its own,
 // until the stream ends.
-func (s *service) receive(c context.Context, stream *connect.BidiStream[pb.OrderBatch, pb.OrderResults], o *outbox) error {
+func (s *service) receive(c context.Context, stream *connect.BidiStream[pb.OrderBatch, pb.OrderResults], o *outbox) {
 	for c.Err() == nil {
 		b, err := stream.Receive()
-		if err != nil {
-			return nil //nolint:nilerr // the planner has closed the stream or is gone
+		if err != nil { // the planner has closed the stream or is gone
+			return
 		}
 		for _, m := range b.GetOrders() {
 			if !o.admit() {
@@ -135,5 +133,4 @@
 			}()
 		}
 	}
-	return nil
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -63,9 +63,13 @@
 	catalog     atomic.Pointer[catalog]
 	workers     *workerList
 	controllers atomic.Pointer[[]*cellController]
+	serving     atomic.Bool
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
-	settings    atomic.Pointer[settings]
+	// lastCalls ends when the calls in progress must be answered, since the instance
+	// is about to stop.
+	lastCalls context.Context
+	settings  atomic.Pointer[settings]
 }
 
 // settings holds what Reload sets.
@@ -108,6 +112,9 @@
 func (e *Entry) Run(c context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(c))
 	defer stop()
+	var endCalls context.CancelFunc
+	e.lastCalls, endCalls = context.WithCancel(context.Background())
+	defer endCalls()
 	e.registerMetrics()
 	e.directory = &peers.Directory{Self: e.Self, Store: e.Store, Clock: e.Clock, Log: e.Log}
 	if e.PeerClient == nil {
@@ -115,6 +122,7 @@
 	}
 	e.relay = &relay.Client{HTTP: e.PeerClient}
 	e.workers = newWorkerList(e)
+	e.serving.Store(true)
 	failed := make(chan error, 1)
 	servers := e.serve(failed)
 	e.Log.Info("started", zap.String("instance", string(e.Self.ID)), zap.String("dataCentre", string(e.Self.DataCentre)),
@@ -128,6 +136,8 @@
 	select {
 	case <-c.Done():
 		e.drain(stopPlanning)
+		endCalls()
+		shutDown(servers)
 	case err = <-failed:
 	}
 	stop()
@@ -139,6 +149,10 @@
 	return err
 }
 
+// Serving reports whether Run has been called and is ready for calls. Those that call
+// the instance without its listeners must not do so before.
+func (e *Entry) Serving() bool { return e.serving.Load() }
+
 // join registers the instance in the directory and sets the number of cells at the
 // first start, retrying each until it succeeds. It then starts a controller for
 // each cell. Controllers run until the planning context ends, all else until the
@@ -220,12 +234,29 @@
 	return m
 }
 
+// shutDown closes the listeners and unused connections, and waits until the calls in
+// progress have been answered, for at most answerTimeout.
+func shutDown(servers []*http.Server) {
+	c, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	var loops sync.WaitGroup
+	for _, s := range servers {
+		loops.Go(func() { _ = s.Shutdown(c) })
+	}
+	loops.Wait()
+}
+
 // trackCalls counts the calls in progress. While the instance drains, it tells
-// callers to close their connections.
+// callers to close their connections. When the drain is over, it ends the contexts of
+// the calls, so that each is answered with what is known about it by then.
 func (e *Entry) trackCalls(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.inFlight.Add(1)
 		defer e.inFlight.Add(-1)
+		c, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(e.lastCalls, cancel)()
+		r = r.WithContext(c)
 		if e.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -239,9 +270,13 @@
 	drainQuietPeriod = 1200 * time.Millisecond
 	// drainPollInterval is the time between two checks for calls in progress.
 	drainPollInterval = 50 * time.Millisecond
-	// killMargin is the time between the end of the drain and SIGKILL that
-	// remains for the shutdown of the process.
-	killMargin = 700 * time.Millisecond
+	// answerTimeout bounds the wait, after the drain, for the answers to calls that
+	// are still in progress. They have no reason to take longer than that then.
+	answerTimeout = 300 * time.Millisecond
+	// killMargin is the time between the end of the drain and SIGKILL. It contains
+	// answerTimeout and the shutdown of the process, which may be short of processor
+	// time.
+	killMargin = time.Second
 	// leaveTimeout bounds the removal of the instance's record from the directory.
 	leaveTimeout = 400 * time.Millisecond
 )
