--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -26,7 +26,7 @@
 // entryCmd runs one entry instance on the users' platform, which passes
 // addresses and limits in a settings file.
 type entryCmd struct {
-	WorkersPerCell int    `default:"512" min:"1" max:"10000" help:"Workers for which one cell is laid out, at the first start of the system."`
+	WorkersPerCell int    `default:"1024" min:"1" max:"10000" help:"Workers for which one cell is laid out, at the first start of the system."`
 	AgentsFrom     int    `default:"128" min:"0" max:"10000" help:"Workers of a cell from which on other instances carry out its planner's orders; 0 for never."`
 	LogLevel       string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to log: debug, info, warn or error."`
 }
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -220,8 +220,16 @@
 	p.sendExchanges(now)
 }
 
+// runCheckInterval is the time between two checks of the runs of a worker for what is
+// due by time alone. Nothing in them has to happen more precisely than that.
+const runCheckInterval = 100 * time.Millisecond
+
 // tickWorker does the part of Tick for one worker.
 func (p *Planner) tickWorker(now time.Time, h *hosts.Host) {
+	if len(h.Slots) == 0 || now.Sub(h.RunsCheckedAt) < runCheckInterval {
+		return
+	}
+	h.RunsCheckedAt = now
 	if p.mayOrder(now) {
 		p.drainWorker(now, h)
 		p.relieveStragglers(now, h)
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -150,6 +150,8 @@
 	// NoRoomUntil is until when nothing is placed on the worker, since it refused a
 	// start for lack of room.
 	NoRoomUntil time.Time
+	// RunsCheckedAt is when the runs were last checked for what is due by time alone.
+	RunsCheckedAt time.Time
 	// StragglerCheckedAt is when the worker was last checked for stragglers.
 	StragglerCheckedAt time.Time
 
