Skip waiting steps that need at least what a pass found no room for

A pass was only skipped for steps with exactly equal needs, so that all 890 workers were rated for each of the others, 50 times a second; for fillers that includes the interference model. Change: a step is skipped if an earlier step of the pass that needs no more of anything has found no room. Of fillers the same, for each image.

--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -27,14 +27,14 @@
 	}
 	slices.SortStableFunc(p.waitingSteps, func(a, b *waitingStep) int { return order.Compare(a.claim, b.claim) })
 	rest := p.waitingSteps[:0]
-	full := map[roomNeed]bool{}
+	var full noRoom
 	for _, w := range p.waitingSteps {
 		w.dropSettled()
 		if w.job.State.Final() || len(w.tasks) == 0 {
 			continue
 		}
-		if n := roomNeedOf(w); !full[n] {
-			full[n] = !p.placeStep(now, w)
+		if n := roomNeedOf(w); !full.covers(n) && !p.placeStep(now, w) {
+			full = append(full, n)
 		}
 		if len(w.tasks) > 0 {
 			p.logWaiting(now, w)
@@ -52,16 +52,39 @@
 	w.tasks = slices.DeleteFunc(w.tasks, func(k int) bool { return tasks[k].Done || len(tasks[k].Runs) > 0 })
 }
 
-// roomNeed is what decides whether a worker has room for a task of a step. If a
-// pass finds no room for one step, it skips the others with the same roomNeed.
+// roomNeed is what decides whether a worker has room for a task of a step.
 type roomNeed struct {
-	service, label, image string
-	counted               sched.Resources // what one task takes from a worker's capacity
+	service, label string
+	filler         bool
+	// image is empty unless the task is a filler: what it does to the tasks beside it
+	// depends on the image then.
+	image string
+	needs sched.Resources
 }
 
 func roomNeedOf(w *waitingStep) roomNeed {
 	s := &w.job.Steps[w.step]
-	return roomNeed{w.job.Queue.Service, s.Label, s.Image, s.Counted()}
+	n := roomNeed{service: w.job.Queue.Service, label: s.Label, filler: s.Filler, needs: s.Needs}
+	if s.Filler {
+		n.image = s.Image
+	}
+	return n
+}
+
+// noRoom holds the needs for which a pass has found no room. A step that needs as much
+// as one of them, or more, can't be placed in that pass either. In a burst a hundred
+// steps wait with different needs, and looking at all workers for each of them in every
+// pass took more processor time than a small instance has.
+type noRoom []roomNeed
+
+// covers reports whether there is no room for the need.
+func (f noRoom) covers(n roomNeed) bool {
+	for _, x := range f {
+		if x.service == n.service && x.label == n.label && x.filler == n.filler && x.image == n.image && x.needs.Fits(n.needs) {
+			return true
+		}
+	}
+	return false
 }
 
 // claimOf returns the claim by which the waiting tasks of a step are ordered.
