--- a/internal/process/agent/link.go
+++ b/internal/process/agent/link.go
@@ -56,11 +56,14 @@
 	// lost.
 	ready, done chan struct{}
 
-	mu      sync.Mutex
-	leaving bool
-	ended   bool
-	heard   bool // since the last check of the silence
-	last    uint64
+	mu sync.Mutex
+	// leaving is set once the agent has said that it stops, ended once the stream has
+	// ended, and heard by each message until the next check of the silence.
+	leaving, ended, heard bool
+	// lastID is the id of the newest order that was sent.
+	lastID uint64
+	// queued holds the calls that wait for the next batch, pending those that were
+	// sent, by the ids of their orders.
 	queued  []*call
 	pending map[uint64]*call
 	// filled receives a value when there are queued calls. It holds one.
@@ -200,9 +203,9 @@
 			k.result <- &pb.OrderResult{Failure: hadNoEffect, Reason: "not sent in time"}
 			continue
 		}
-		l.last++
+		l.lastID++
 		k.sent = true
-		k.message.Id, k.message.Timeout = l.last, uint32(left.Milliseconds())
+		k.message.Id, k.message.Timeout = l.lastID, uint32(left.Milliseconds())
 		if k.message.GetKind() == kindStart {
 			n, known := payloads[k.payload]
 			if !known {
@@ -212,7 +215,7 @@
 			}
 			k.message.Payload = n
 		}
-		l.pending[l.last] = k
+		l.pending[l.lastID] = k
 		b.Orders = append(b.Orders, k.message)
 	}
 	l.queued = nil
--- a/internal/process/agent/pool.go
+++ b/internal/process/agent/pool.go
@@ -30,6 +30,9 @@
 	openTimeout = 250 * time.Millisecond
 	// lostPause is how long an instance isn't used as an agent after it was lost.
 	lostPause = 4 * time.Second
+	// pathRetention is how long a worker without orders still counts for the number of
+	// agents. Workers in use have an order every 8 s at least.
+	pathRetention = time.Minute
 	// unlimitedTimeout is the timeout of an order whose context has no deadline.
 	unlimitedTimeout = time.Minute
 	// directPeriod is how long a worker is called directly after an agent had no
@@ -62,6 +65,7 @@
 	links       map[sched.InstanceID]*link
 	lostUntil   map[sched.InstanceID]time.Time
 	assignments map[sched.DataCentre]assignment
+	sweptAt     time.Time
 	open        sync.WaitGroup
 }
 
@@ -72,6 +76,7 @@
 	dataCentre  sched.DataCentre
 	hash        uint64
 	directUntil time.Time
+	usedAt      time.Time
 }
 
 // assignment is the choice of the agents of a data centre.
@@ -239,6 +244,8 @@
 		p.counts[w.DataCentre]++
 	}
 	now := p.Clock.Now()
+	x.usedAt = now
+	p.dropUnusedPaths(now)
 	if len(p.workers) < p.MinWorkers || now.Before(x.directUntil) {
 		return nil
 	}
@@ -249,6 +256,21 @@
 	return agents[x.hash%uint64(len(agents))]
 }
 
+// dropUnusedPaths drops the workers that had no order for pathRetention. p.mu must be
+// held.
+func (p *Pool) dropUnusedPaths(now time.Time) {
+	if now.Sub(p.sweptAt) < pathRetention {
+		return
+	}
+	p.sweptAt = now
+	for id, x := range p.workers {
+		if now.Sub(x.usedAt) >= pathRetention {
+			delete(p.workers, id)
+			p.counts[x.dataCentre]--
+		}
+	}
+}
+
 // agents returns the agents of a data centre, and chooses them again if one of them
 // can't be used or the choice is old. p.mu must be held.
 func (p *Pool) agents(now time.Time, d sched.DataCentre) []*link {
--- a/internal/process/agent/pool_test.go
+++ b/internal/process/agent/pool_test.go
@@ -200,6 +200,25 @@
 	i.Equal(leases, 1)
 }
 
+// Guards against agents for workers that are gone: in a long term workers come and go,
+// and each would count for ever.
+func TestWorkersWithoutOrdersStopCounting(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	k := clock.NewManual(time.Now())
+	r.MinWorkers, r.Clock = 2, k
+	other := sched.Worker{ID: "w2", Address: "w2:1", DataCentre: "elsewhere"}
+	for range 2 {
+		_, err := r.Stop(timeout(t, time.Minute), other, sched.StopOrder{})
+		i.NoErr(err)
+		k.Advance(2 * time.Minute)
+		_, err = r.Lease(timeout(t, time.Minute), one, sched.LeaseOrder{})
+		i.NoErr(err)
+	}
+	_, leases := r.direct.counts()
+	i.Equal(leases, 2) // there never were two workers at a time
+}
+
 // Guards against a pool that needs agents: a planner of few workers, or one alone,
 // sends its orders itself.
 func TestWithoutAgentsOrdersAreSentDirectly(t *testing.T) {
--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -44,8 +44,9 @@
 
 // outbox collects the results of one stream for the next batch.
 type outbox struct {
-	mu       sync.Mutex
-	results  []*pb.OrderResult
+	mu      sync.Mutex
+	results []*pb.OrderResult
+	// inFlight is the number of admitted orders without a result.
 	inFlight int
 	// filled receives a value when there are results. It holds one.
 	filled chan struct{}
