Put shared pieces of the agents' change in one place each

The permission check stood in four calls of lead, the fallback to a direct call in three of agent.Pool, the option against compression in relay and agent; each caller's call got a context of its own to be ended after the drain; link.run cancelled its stream in four places. Change: lead.send and Pool.order hold the check and the fallback, peer.Uncompressed the option; the callers' server derives its calls' contexts from one that ends after the drain (BaseContext); link.run ends its stream in its deferred calls. Behaviour is unchanged. Tests unchanged.

--- a/internal/process/agent/link.go
+++ b/internal/process/agent/link.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb/pbconnect"
@@ -84,22 +85,17 @@
 	return l
 }
 
-// uncompressed asks for results without compression, which would take more processor
-// time than all else that is done with a batch.
-var uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
-
 // run keeps the stream open until it fails, the agent is silent for too long, or the
 // context ends.
 func (l *link) run(c context.Context, web *http.Client) error {
 	x, cancel := context.WithCancelCause(c)
-	defer cancel(nil)
 	var loops sync.WaitGroup
 	defer loops.Wait()
+	defer cancel(nil)
 	loops.Go(func() { l.watch(x, cancel) })
-	client := pbconnect.NewOrdersClient(web, "http://"+l.to.Address, connect.WithReadMaxBytes(maxMessageBytes), uncompressed)
+	client := pbconnect.NewOrdersClient(web, "http://"+l.to.Address, connect.WithReadMaxBytes(maxMessageBytes), peer.Uncompressed)
 	stream, err := client.Carry(x)
 	if err != nil {
-		cancel(err)
 		return err
 	}
 	defer func() {
@@ -116,7 +112,6 @@
 	if cause := context.Cause(x); cause != nil {
 		err = cause
 	}
-	cancel(err)
 	return err
 }
 
--- a/internal/process/agent/pool.go
+++ b/internal/process/agent/pool.go
@@ -109,29 +109,26 @@
 
 // Start implements sched.OrderClient.
 func (p *Pool) Start(c context.Context, w sched.Worker, o sched.StartOrder) (sched.OrderAnswer, error) {
-	a, err := p.carry(c, w, startMessage(o), o.Payload)
-	if errors.Is(err, errDirect) {
-		a.OrderAnswer, err = p.Direct.Start(c, w, o)
-		p.calledDirectly(w, err)
-	}
-	return a.OrderAnswer, err
+	return p.order(c, w, startMessage(o), o.Payload, func() (sched.OrderAnswer, error) { return p.Direct.Start(c, w, o) })
 }
 
 // Stop implements sched.OrderClient.
 func (p *Pool) Stop(c context.Context, w sched.Worker, o sched.StopOrder) (sched.OrderAnswer, error) {
-	a, err := p.carry(c, w, stopMessage(o), "")
-	if errors.Is(err, errDirect) {
-		a.OrderAnswer, err = p.Direct.Stop(c, w, o)
-		p.calledDirectly(w, err)
-	}
-	return a.OrderAnswer, err
+	return p.order(c, w, stopMessage(o), "", func() (sched.OrderAnswer, error) { return p.Direct.Stop(c, w, o) })
 }
 
 // Pace implements sched.OrderClient.
 func (p *Pool) Pace(c context.Context, w sched.Worker, o sched.PaceOrder) (sched.OrderAnswer, error) {
-	a, err := p.carry(c, w, paceMessage(o), "")
+	return p.order(c, w, paceMessage(o), "", func() (sched.OrderAnswer, error) { return p.Direct.Pace(c, w, o) })
+}
+
+// order sends an order through the worker's agent, or directly if no agent got it.
+func (p *Pool) order(
+	c context.Context, w sched.Worker, m *pb.WorkerOrder, payload string, direct func() (sched.OrderAnswer, error),
+) (sched.OrderAnswer, error) {
+	a, err := p.carry(c, w, m, payload)
 	if errors.Is(err, errDirect) {
-		a.OrderAnswer, err = p.Direct.Pace(c, w, o)
+		a.OrderAnswer, err = direct()
 		p.calledDirectly(w, err)
 	}
 	return a.OrderAnswer, err
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -66,10 +66,7 @@
 	serving     atomic.Bool
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
-	// lastCalls ends when the calls in progress must be answered, since the instance
-	// is about to stop.
-	lastCalls context.Context
-	settings  atomic.Pointer[settings]
+	settings    atomic.Pointer[settings]
 }
 
 // settings holds what Reload sets.
@@ -112,8 +109,7 @@
 func (e *Entry) Run(c context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(c))
 	defer stop()
-	var endCalls context.CancelFunc
-	e.lastCalls, endCalls = context.WithCancel(context.Background())
+	calls, endCalls := context.WithCancel(context.WithoutCancel(c))
 	defer endCalls()
 	e.registerMetrics()
 	e.directory = &peers.Directory{Self: e.Self, Store: e.Store, Clock: e.Clock, Log: e.Log}
@@ -124,7 +120,7 @@
 	e.workers = newWorkerList(e)
 	e.serving.Store(true)
 	failed := make(chan error, 1)
-	servers := e.serve(failed)
+	servers := e.serve(calls, failed)
 	e.Log.Info("started", zap.String("instance", string(e.Self.ID)), zap.String("dataCentre", string(e.Self.DataCentre)),
 		zap.String("address", e.Self.Address))
 	var loops sync.WaitGroup
@@ -189,8 +185,9 @@
 }
 
 // serve starts an HTTP server for each listener. The first error of a server is sent
-// to failed.
-func (e *Entry) serve(failed chan<- error) []*http.Server {
+// to failed. The contexts of callers' calls derive from the given one: when it ends, after
+// the drain, each call is answered with what is known about it by then.
+func (e *Entry) serve(calls context.Context, failed chan<- error) []*http.Server {
 	parts := []struct {
 		use      string
 		listener net.Listener
@@ -210,6 +207,9 @@
 			Handler: p.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes,
 		}
+		if p.use == "callers" {
+			s.BaseContext = func(net.Listener) context.Context { return calls }
+		}
 		if p.use == "peers" {
 			s.Protocols, s.IdleTimeout = peer.Protocols(), 0
 		}
@@ -247,16 +247,11 @@
 }
 
 // trackCalls counts the calls in progress. While the instance drains, it tells
-// callers to close their connections. When the drain is over, it ends the contexts of
-// the calls, so that each is answered with what is known about it by then.
+// callers to close their connections.
 func (e *Entry) trackCalls(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.inFlight.Add(1)
 		defer e.inFlight.Add(-1)
-		c, cancel := context.WithCancel(r.Context())
-		defer cancel()
-		defer context.AfterFunc(e.lastCalls, cancel)()
-		r = r.WithContext(c)
 		if e.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -30,13 +30,14 @@
 // recent proof any more that no other planner has taken over.
 var errPermissionExpired = fmt.Errorf("%w: permission to order has expired", sched.ErrUnavailable)
 
-// checkPermission returns an error if the proof on which an order depends has become
-// too old since the planner gave the order: this process was paused meanwhile.
-func (l *Leader) checkPermission() error {
+// send makes a call to a worker, unless the proof on which the order depends has become
+// too old since the planner gave it: this process was paused meanwhile.
+func send[A any](l *Leader, call func() (A, error)) (A, error) {
 	if l.ProofAge() >= cell.ProofValidity {
-		return errPermissionExpired
+		var none A
+		return none, errPermissionExpired
 	}
-	return nil
+	return call()
 }
 
 // callResult returns the part of a result that is common to all calls of a worker.
@@ -48,11 +49,7 @@
 	x, cancel := context.WithTimeout(l.callContext, l.orderTimeout())
 	defer cancel()
 	sent := l.Clock.Now()
-	var a sched.OrderAnswer
-	err := l.checkPermission()
-	if err == nil {
-		a, err = l.Runner.Start(x, s.Worker, s.Order)
-	}
+	a, err := send(l, func() (sched.OrderAnswer, error) { return l.Runner.Start(x, s.Worker, s.Order) })
 	r := cell.StartResult{
 		Result: l.callResult(s.Worker, s.Order.Token, sent, err), Key: hosts.Key{Task: s.Order.Task, Run: s.Order.Run},
 		Answer: a,
@@ -64,11 +61,7 @@
 	x, cancel := context.WithTimeout(l.callContext, l.orderTimeout())
 	defer cancel()
 	sent := l.Clock.Now()
-	var a sched.OrderAnswer
-	err := l.checkPermission()
-	if err == nil {
-		a, err = l.Runner.Stop(x, s.Worker, s.Order)
-	}
+	a, err := send(l, func() (sched.OrderAnswer, error) { return l.Runner.Stop(x, s.Worker, s.Order) })
 	r := cell.OrderResult{
 		Result: l.callResult(s.Worker, s.Order.Token, sent, err), Key: hosts.Key{Task: s.Order.Task, Run: s.Order.Run},
 		Answer: a,
@@ -80,11 +73,7 @@
 	x, cancel := context.WithTimeout(l.callContext, l.orderTimeout())
 	defer cancel()
 	sent := l.Clock.Now()
-	var a sched.OrderAnswer
-	err := l.checkPermission()
-	if err == nil {
-		a, err = l.Runner.Pace(x, p.Worker, p.Order)
-	}
+	a, err := send(l, func() (sched.OrderAnswer, error) { return l.Runner.Pace(x, p.Worker, p.Order) })
 	r := cell.OrderResult{
 		Result: l.callResult(p.Worker, p.Order.Token, sent, err), Key: hosts.Key{Task: p.Order.Task, Run: p.Order.Run},
 		Answer: a,
@@ -96,11 +85,7 @@
 	x, cancel := context.WithTimeout(l.callContext, maxOrderTimeout+o.Order.Wait)
 	defer cancel()
 	sent := l.Clock.Now()
-	var a sched.LeaseAnswer
-	err := l.checkPermission()
-	if err == nil {
-		a, err = l.Runner.Lease(x, o.Worker, o.Order)
-	}
+	a, err := send(l, func() (sched.LeaseAnswer, error) { return l.Runner.Lease(x, o.Worker, o.Order) })
 	r := cell.LeaseResult{
 		Result: l.callResult(o.Worker, o.Order.Token, sent, err), AckedEnd: o.Order.RecordedEnd, Renewed: o.Order.Lease > 0,
 		Answer: a,
--- a/internal/process/peer/transport.go
+++ b/internal/process/peer/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"connectrpc.com/connect"
 )
 
 const (
@@ -36,6 +38,11 @@
 	}}
 }
 
+// Uncompressed is the option of a client that asks for answers without compression.
+// Most messages are small, and compressing one takes more processor time than the rest
+// of the call.
+var Uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
+
 // Protocols returns the protocols of the server of the peer service: HTTP/2
 // without TLS, and HTTP/1.1 for instances that run older software.
 func Protocols() *http.Protocols {
--- a/internal/process/relay/client.go
+++ b/internal/process/relay/client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb/pbconnect"
@@ -64,13 +65,9 @@
 }
 
 func (c *Client) service(address string) pbconnect.RelayClient {
-	return pbconnect.NewRelayClient(c.HTTP, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes), uncompressed)
+	return pbconnect.NewRelayClient(c.HTTP, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes), peer.Uncompressed)
 }
 
-// uncompressed asks for answers without compression. They are small, and compressing
-// one takes more processor time than the rest of the call.
-var uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
-
 // movedError returns the error for an answer with the moved flag and its hint.
 func movedError(cell int, m *pb.RelayPlanner) error {
 	if m == nil {
