End the term of a planner that has panicked

What callers saw: accepted jobs of the cell are started no more, running ones end with their leases, and no other instance takes over. No line of the log told the cause.

Cause: the actor system recovers a panic of the planner's actor without a log line and restarts the actor, up to ten times in ten seconds, then stops it. The planner's state was left in the middle of a change by then: a batch that was taken and never appended keeps every later one from being written. The append loop goes on with its term records meanwhile, so the others see a planner that works. The control actor of the daemon has had this protection; the planner's actor had not.

Change: a panic is logged with its stack (plannerFailed), nothing more is done with the planner, and the term ends by a resignation, so that the next planner begins at once with what is recorded.

--- a/internal/process/lead/append.go
+++ b/internal/process/lead/append.go
@@ -26,7 +26,7 @@
 		case records := <-l.appends:
 			sent, err := l.append(c, records)
 			if err != nil {
-				return err
+				return l.ended(err)
 			}
 			l.post(func() { l.planner.Appended(l.Clock.Now(), sent) })
 			// Records that arise during the sleep go into the next batch.
@@ -36,11 +36,13 @@
 		case <-timer.C:
 			sent, err := l.append(c, []sched.KeyedRecord{{Key: TermKey, Value: l.termRecord}})
 			if err != nil {
-				return err
+				return l.ended(err)
 			}
 			l.post(func() { l.planner.Proven(sent) })
 		case t := <-l.supersededBy:
 			return &SupersededError{l.Cell, t}
+		case err := <-l.failure:
+			return l.ended(err)
 		case <-c.Done():
 			return l.resign()
 		}
@@ -96,8 +98,8 @@
 
 // append adds the records at the end of the partition, with as many attempts as
 // that takes, and returns the time at which the successful attempt was sent. The
-// error is a *SupersededError if another instance has begun a term, or that of the
-// context when it ends.
+// error is a *SupersededError if another instance has begun a term, ErrPlannerFailed
+// if the planner has panicked, or that of the context when it ends.
 func (l *Leader) append(c context.Context, records []sched.KeyedRecord) (time.Time, error) {
 	x, cancel := context.WithCancel(context.WithoutCancel(c))
 	defer cancel()
@@ -147,6 +149,8 @@
 			}
 		case t := <-l.supersededBy:
 			return began, &SupersededError{l.Cell, t}
+		case err := <-l.failure:
+			return began, err
 		case <-c.Done():
 			return began, c.Err()
 		}
@@ -246,6 +250,14 @@
 	return 0, &SupersededError{l.Cell, t}
 }
 
+// ended resigns if the planner has failed, and returns the error that ends the term.
+func (l *Leader) ended(err error) error {
+	if !errors.Is(err, ErrPlannerFailed) {
+		return err
+	}
+	return errors.Join(err, l.resign())
+}
+
 // resignTimeout bounds the last append of a planner that stops.
 const resignTimeout = 500 * time.Millisecond
 
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -57,8 +58,12 @@
 	ticket         cell.Ticket
 	stopped        chan struct{}
 	finished       atomic.Bool
-	supersededBy   chan Term
-	suspecting     atomic.Bool
+	// failure receives the error of a planner that has panicked, and failed is set
+	// from then on.
+	failure      chan error
+	failed       atomic.Bool
+	supersededBy chan Term
+	suspecting   atomic.Bool
 	// appendPending is set while an append has not succeeded yet; retryRequested
 	// asks that append for another attempt.
 	appendPending  atomic.Bool
@@ -81,11 +86,16 @@
 // effect.
 var ErrTermEnded = errors.New("term ended during the call")
 
+// ErrPlannerFailed reports that the term has ended because the planner has panicked.
+// The next planner of the cell begins with what is recorded.
+var ErrPlannerFailed = errors.New("planner failed")
+
 // Partition returns the partition of the store that holds the records of a cell.
 func Partition(cell int) sched.Partition { return sched.Partition{Topic: Topic, Number: cell} }
 
 // Run begins a term and plans the cell until the context ends or another instance
-// takes over, which gives a *SupersededError. When the context ends between two appends,
+// takes over, which gives a *SupersededError, or until the planner panics, which gives
+// ErrPlannerFailed. When the context ends between two appends,
 // Run appends a record that ends the term, and returns nil. When it ends during an
 // append, Run returns the context's error, and the term stays in force until another
 // instance replaces it.
@@ -112,6 +122,7 @@
 	l.begunAt = l.Clock.Now()
 	l.appends, l.stopped = make(chan []sched.KeyedRecord, 1), make(chan struct{})
 	l.supersededBy, l.retryRequested = make(chan Term, 1), make(chan struct{}, 1)
+	l.failure = make(chan error, 1)
 	l.startActor()
 	l.Log.Info("termBegan", zap.Int64("term", int64(l.termNumber)), zap.Int("records", len(restored.records)))
 	l.OnBegin(l.termNumber)
@@ -168,12 +179,28 @@
 	l.system = actor.NewActorSystem(actor.WithLoggerFactory(silent))
 	l.pid = l.system.Root.Spawn(actor.PropsFromFunc(func(x actor.Context) {
 		if f, ok := x.Message().(func()); ok {
-			f()
-			l.applyEffects()
+			l.handle(f)
 		}
 	}))
 }
 
+// handle runs f and carries out the effects. A panic ends the term: the planner's
+// state can't be trusted any more, and nothing may be done with it.
+func (l *Leader) handle(f func()) {
+	if l.failed.Load() {
+		return
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			l.failed.Store(true)
+			l.Log.Error("plannerFailed", zap.Any("panic", r), zap.Stack("stack"))
+			l.failure <- fmt.Errorf("%w: %v", ErrPlannerFailed, r)
+		}
+	}()
+	f()
+	l.applyEffects()
+}
+
 // post runs f in the planner's actor, without waiting for it.
 func (l *Leader) post(f func()) { l.system.Root.Send(l.pid, f) }
 
