Report tasks that wait beside free workers on the emulated site

The audit of the emulated site reported jobs that never end, and nothing of a task that waits for long while there is room for it. It now looks at each accepted job that isn't cancelled, four times a heartbeat: of a job that ends by itself nothing runs while a task's turn has come, or a lasting task doesn't run from 6 s after its last run; the workers that are up and not draining have room for it twice over, a gang whole; and under half of the service's capacity is in use. If that holds for 3 s on end, it is a finding (rule "waiting").

No fault may be active or have ended within 9.1 s before: a planner that takes over waits until the leases of its predecessor have ended (6 s on a clock that is 2% slow), which may have been renewed for cell.ProofValidity (2.5 s). Fillers count from 14 s after the last submission, the platform's finish_s: they wait for idle processors, which the rule doesn't count.

The trials submit for another 21.1 s after the last fault, so that the check sees a settled site under load, and lasting jobs stay for up to 24 s rather than 8, so that tasks lost early count.

--- a/internal/emu/audit/audit.go
+++ b/internal/emu/audit/audit.go
@@ -57,6 +57,8 @@
 	Mixed = "mixed"
 	// Harm: fillers kept a serving task over its latency bound for too long.
 	Harm = "harm"
+	// Waiting: a task of an accepted job waits although there is room for it.
+	Waiting = "waiting"
 )
 
 // Audit collects findings. Exported fields are set before the first call. It is
@@ -69,6 +71,12 @@
 	// CancelTime is how long after the acknowledgement of a cancel runs of the
 	// job may still start.
 	CancelTime time.Duration
+	// SettlingTime is how long after the end of a fault tasks may wait although there
+	// is room for them.
+	SettlingTime time.Duration
+	// SameCell reports whether a job may run on a worker as far as their cells are
+	// concerned, nil if there is one cell. A cell doesn't use the room of another.
+	SameCell func(sched.JobID, sched.InstanceID) bool
 
 	mu       sync.Mutex
 	tasks    map[sched.TaskRef]*taskRecord
@@ -79,6 +87,15 @@
 	tasksDone int64
 	// wastedTime sums the run time of runs that ended otherwise than as done.
 	wastedTime time.Duration
+	// activeFaults counts the faults that are active. From settledFrom on the site has
+	// recovered from the earlier ones.
+	activeFaults int
+	settledFrom  time.Time
+	// trafficEndedAt is when the last job was submitted, zero before that.
+	trafficEndedAt time.Time
+	// waits holds the tasks that waited at the last call of CheckWaiting although
+	// there was room for them.
+	waits map[sched.TaskRef]*wait
 }
 
 // taskRecord holds what was observed of a task.
@@ -93,6 +110,8 @@
 	// acknowledgedFailures counts the failures whose end was acknowledged.
 	acknowledgedFailures int
 	checkpoints          map[sched.CheckpointID]bool
+	// lastRunAt is when a run last ended.
+	lastRunAt time.Time
 }
 
 type activeRun struct {
@@ -284,6 +303,7 @@
 		a.wastedTime += at.Sub(l.began)
 	}
 	delete(t.running, k)
+	t.lastRunAt = at
 	switch how {
 	case sched.EndDone:
 		if t.doneRuns == 0 {
@@ -331,13 +351,14 @@
 }
 
 // Crashed implements work.Observer. It removes the runs that were on the worker.
-func (a *Audit) Crashed(_ time.Time, w *work.Worker) {
+func (a *Audit) Crashed(at time.Time, w *work.Worker) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, t := range a.tasks {
 		for k, l := range t.running {
 			if l.worker == w.ID {
 				delete(t.running, k)
+				t.lastRunAt = at
 			}
 		}
 	}
--- a/internal/emu/load/caller.go
+++ b/internal/emu/load/caller.go
@@ -121,8 +121,10 @@
 	// cancelShare is the probability that a job that would end by itself is
 	// cancelled. Lasting jobs are always cancelled, because they never end.
 	cancelShare = 0.1
-	// maxCancelDelay is the longest time from acceptance to the cancel.
-	maxCancelDelay = 8 * time.Second
+	// maxCancelDelay is the longest time from acceptance to the cancel. Lasting jobs
+	// stay longer, so that their tasks may be lost and start again.
+	maxCancelDelay        = 8 * time.Second
+	maxLastingCancelDelay = 24 * time.Second
 )
 
 // SubmitAndPoll submits a job and polls its state until the job or the context ends. It
@@ -134,7 +136,11 @@
 	accepted := x.Clock.Now()
 	cancelAt := time.Time{}
 	if x.chance(cancelShare) || isLasting(j) {
-		cancelAt = accepted.Add(time.Duration(x.draw() * float64(maxCancelDelay)))
+		longest := maxCancelDelay
+		if isLasting(j) {
+			longest = maxLastingCancelDelay
+		}
+		cancelAt = accepted.Add(time.Duration(x.draw() * float64(longest)))
 	}
 	for x.Clock.Sleep(c, time.Duration(2*x.draw()*float64(meanPollInterval))) == nil {
 		if !cancelAt.IsZero() && x.Clock.Now().After(cancelAt) {
--- a/internal/emu/site/plan_test.go
+++ b/internal/emu/site/plan_test.go
@@ -16,6 +16,8 @@
 	at   time.Duration
 	name string
 	do   func(*trial)
+	// begins is 1 if a fault begins, -1 if one ends, and 0 if it takes no time.
+	begins int
 }
 
 // plan draws 4 to 11 faults over faultTime, with their ends, in order of time.
@@ -50,11 +52,10 @@
 		func() (string, func(*trial), func(*trial)) { return t.trimHistory() },
 	}
 	name, begin, end := kinds[t.random.IntN(len(kinds))]()
-	out := []fault{{at, name, begin}}
-	if end != nil {
-		out = append(out, fault{min(at+span, faultTime), "end of " + name, end})
+	if end == nil {
+		return []fault{{at, name, begin, 0}}
 	}
-	return out
+	return []fault{{at, name, begin, 1}, {min(at+span, faultTime), "end of " + name, end, -1}}
 }
 
 // targets returns the instance, or all instances.
--- a/internal/emu/site/site_test.go
+++ b/internal/emu/site/site_test.go
@@ -19,6 +19,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/site"
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/work"
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/world"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/entry"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -31,6 +32,15 @@
 	// that can't reach a worker waits 9 s.
 	faultTime    = 40 * time.Second
 	recoveryTime = 60 * time.Second
+	// leaseLimit is the longest lease that a worker grants.
+	leaseLimit = 6 * time.Second
+	// settlingTime is how long after a fault tasks may wait although there is room for
+	// them: a new planner waits until the leases of its predecessor have ended, which
+	// may have been renewed for cell.ProofValidity by clocks that are 2% slow.
+	settlingTime = leaseLimit + leaseLimit/10 + cell.ProofValidity
+	// calmTime is how long jobs are submitted after the last fault: until the site has
+	// settled, and then for a few of the waits that the audit reports.
+	calmTime = settlingTime + 12*time.Second
 	// lateTime is longer than any call is carried out late.
 	lateTime = 15 * time.Second
 )
@@ -83,8 +93,9 @@
 	t.deskRandom = rand.New(rand.NewPCG(seed, 5))
 	t.world = &world.World{
 		Clock: clock.System{}, Seed: seed, Heartbeat: 1100 * time.Millisecond, Retention: 20 * time.Second,
+		SettlingTime: settlingTime,
 		Rules: work.Rules{
-			LeaseLimit: 6 * time.Second, StopTime: 300 * time.Millisecond, GangLimit: 3 * time.Second,
+			LeaseLimit: leaseLimit, StopTime: 300 * time.Millisecond, GangLimit: 3 * time.Second,
 			Checkpoint: 500 * time.Millisecond, Restore: 100 * time.Millisecond, Startup: 500 * time.Millisecond,
 			Guards: t.guards, FarFactor: 1.5, Interference: sharing,
 		},
@@ -92,6 +103,9 @@
 			Version: 1, Routes: []sched.Route{route}, Services: []sched.ServiceRules{{Name: service, RejectsOverload: t.guards}},
 		},
 	}
+	t.world.SameCell = func(j sched.JobID, w sched.InstanceID) bool {
+		return entry.CellOf(string(j), t.cells) == entry.CellOf(string(w), t.cells)
+	}
 	for n := range t.workers {
 		t.world.Workers = append(t.world.Workers, sched.Worker{
 			ID: sched.InstanceID(fmt.Sprint("w", n)), Address: fmt.Sprintf("w%d:1", n), Service: service,
@@ -102,7 +116,7 @@
 	t.site = &site.Site{
 		World: t.world, WorkersPerCell: (t.workers + t.cells - 1) / t.cells, Delay: time.Millisecond, Log: logger(),
 		Options: cell.Options{
-			LeaseLimit: 6 * time.Second, StopLimit: 900 * time.Millisecond, StatusKept: 10 * time.Minute,
+			LeaseLimit: leaseLimit, StopLimit: 900 * time.Millisecond, StatusKept: 10 * time.Minute,
 			Early: 250 * time.Millisecond, GangLimit: 3 * time.Second, Restore: 100 * time.Millisecond, FarFactor: 1.5,
 		},
 	}
@@ -156,12 +170,17 @@
 	time.Sleep(3 * time.Second)
 	loops.Go(func() { t.submit(c, loops) })
 	began := time.Now()
+	active := 0
 	for _, f := range plan {
 		time.Sleep(f.at - time.Since(began))
+		active += f.begins
+		t.world.Audit.SetFaults(time.Now(), active)
 		f.do(t)
 	}
 	time.Sleep(faultTime - time.Since(began))
 	t.endFaults()
+	t.world.Audit.SetFaults(time.Now(), 0)
+	time.Sleep(calmTime)
 	deadline := time.Now().Add(recoveryTime)
 	for time.Now().Before(deadline) {
 		time.Sleep(time.Second)
@@ -190,7 +209,7 @@
 	return nil
 }
 
-// submit submits random jobs during faultTime and has callers follow them.
+// submit submits random jobs during faultTime and calmTime and has callers follow them.
 func (t *trial) submit(c context.Context, loops *sync.WaitGroup) {
 	s := &load.JobGenerator{
 		Random: rand.New(rand.NewPCG(t.seed, 3)), Queue: queue, Racks: racks, Labels: labels, MaxMeanRunTime: 3 * time.Second,
@@ -198,13 +217,14 @@
 	if t.cells > 1 {
 		s.Labels = nil // a cell with few workers may have none with a given label
 	}
-	end := time.Now().Add(faultTime)
+	end := time.Now().Add(faultTime + calmTime)
 	for time.Now().Before(end) && c.Err() == nil {
 		truth := s.Next(time.Now())
 		t.world.Jobs.Add(truth)
 		loops.Go(func() { t.caller.SubmitAndPoll(c, truth.Job) })
 		time.Sleep(time.Duration(100+s.Random.IntN(500)) * time.Millisecond)
 	}
+	t.world.Audit.SetTrafficEnded(time.Now())
 }
 
 // endFaults ends all faults and starts the instances and workers that are down.
--- a/internal/emu/world/world.go
+++ b/internal/emu/world/world.go
@@ -34,6 +34,12 @@
 	// MaxOverGoal is how long fillers may keep a serving task over its latency bound
 	// before the audit reports it. With 0 this isn't checked.
 	MaxOverGoal time.Duration
+	// SettlingTime is how long after the end of a fault tasks may wait although there
+	// is room for them.
+	SettlingTime time.Duration
+	// SameCell reports whether a job may run on a worker as far as their cells are
+	// concerned, nil if there is one cell.
+	SameCell func(sched.JobID, sched.InstanceID) bool
 
 	Jobs  *book.Jobs
 	Audit *audit.Audit
@@ -71,7 +77,7 @@
 func (w *World) Begin() {
 	w.random = rand.New(rand.NewPCG(w.Seed, 1))
 	w.Jobs = &book.Jobs{Seed: w.Seed}
-	w.Audit = &audit.Audit{Jobs: w.Jobs, Guards: w.Rules.Guards, CancelTime: 3 * time.Second}
+	w.Audit = &audit.Audit{Jobs: w.Jobs, Guards: w.Rules.Guards, CancelTime: 3 * time.Second, SettlingTime: w.SettlingTime, SameCell: w.SameCell}
 	w.store = &store.Store{Retention: w.Retention}
 	w.gangs = &work.Gangs{}
 	w.workers, w.sides = map[sched.InstanceID]*work.Worker{}, map[sched.InstanceID]*Client{}
@@ -161,16 +167,21 @@
 	}
 }
 
-// checkWorkers advances all workers to the present time. It reports serving tasks
-// that fillers keep over their latency bound for longer than MaxOverGoal, and each
-// again after every further MaxOverGoal.
+// checkWorkers advances all workers to the present time and has the audit check the
+// waiting tasks. It reports serving tasks that fillers keep over their latency bound
+// for longer than MaxOverGoal, and each again after every further MaxOverGoal.
 func (w *World) checkWorkers() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
+	var up []*work.Worker
+	defer func() { w.Audit.CheckWaiting(now, up) }()
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 		x := w.workers[id]
 		x.Advance(now)
+		if !x.Down {
+			up = append(up, x)
+		}
 		if w.MaxOverGoal == 0 {
 			continue
 		}
--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -124,7 +124,7 @@
 	if n == 0 {
 		return sched.Verdict{Code: sched.CodeNotReady, RetryAfter: retryAfter, Reason: "not joined yet"}
 	}
-	return e.callCell(c, cellOf(string(id), n), id, v, f)
+	return e.callCell(c, CellOf(string(id), n), id, v, f)
 }
 
 // callCell calls the planner of a cell, which may change meanwhile, until a call is
--- a/internal/process/entry/workers.go
+++ b/internal/process/entry/workers.go
@@ -75,7 +75,7 @@
 // isn't negative, entries of other cells are left out.
 func (w *workerList) forward(cell int, k sched.Worker) {
 	n := w.entry.directory.Cells()
-	at := cellOf(string(k.ID), n)
+	at := CellOf(string(k.ID), n)
 	if cell >= 0 && at != cell {
 		return
 	}
@@ -111,7 +111,7 @@
 		id := sched.InstanceID(r.Key)
 		if len(r.Value) == 0 {
 			delete(w.known, id)
-			if l := w.entry.lead(cellOf(r.Key, w.entry.directory.Cells())); l != nil {
+			if l := w.entry.lead(CellOf(r.Key, w.entry.directory.Cells())); l != nil {
 				l.WorkerUnlisted(id)
 			}
 			continue
@@ -126,9 +126,9 @@
 	}
 }
 
-// cellOf returns the cell of a job or a worker, 0 if there are no cells yet. The
+// CellOf returns the cell of a job or a worker, 0 if there are no cells yet. The
 // cell of an id never changes, since the number of cells is fixed.
-func cellOf(id string, cells int) int {
+func CellOf(id string, cells int) int {
 	if cells < 1 {
 		return 0
 	}
