Show in logs and metrics which tasks are held up, and why

A step that waited was logged once, after a second, and workers that are suspected were counted with those that are draining or silent.

--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -81,6 +81,7 @@
 		{"paces", before.Paces, after.Paces},
 		{"moves", before.Moves, after.Moves},
 		{"copies", before.Copies, after.Copies},
+		{"heldUp", before.HeldUp, after.HeldUp},
 	}
 	for _, r := range rows {
 		m.set.GetOrCreateCounter(fmt.Sprintf("%s{what=%q}", plannerTotal, r.what)).Add(int(r.after - r.before))
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -141,12 +141,17 @@
 }
 
 // usable reports whether tasks of the step may be placed on the worker, apart
-// from room: the worker is listed, in contact, not draining, not suspected, of
-// the service and with the label, and hasn't just refused a start for lack of
-// room.
+// from room: the worker is in service for the step and not suspected.
 func (p *Planner) usable(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
+	return p.inService(now, h, service, step) && !p.judge.Avoid(now, h.ID)
+}
+
+// inService reports whether the worker is listed, in contact, not draining, of the
+// service and with the label of the step, and hasn't just refused a start for lack of
+// room.
+func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
 	return h.Listed && h.RunsKnown && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
-		(step.Label == "" || slices.Contains(h.Labels, step.Label)) && !p.judge.Avoid(now, h.ID)
+		(step.Label == "" || slices.Contains(h.Labels, step.Label))
 }
 
 // atTaskLimit reports whether the worker has as many tasks of the step as
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -114,10 +114,11 @@
 // Stats counts what a planner did in its term. Stops includes repeated orders, but
 // not those for runs that the planner doesn't know. NoRoom counts starts that a
 // worker refused for lack of room, Moves the paused fillers that were stopped to run
-// elsewhere, and Copies the speculative copies.
+// elsewhere, Copies the speculative copies, and HeldUp the tasks that waited for
+// heldUpDelay though a worker had room.
 type Stats struct {
 	Accepted, Refused, Starts, Ends, Failed, Lost, Stops int64
-	NoRoom, Paces, Moves, Copies                         int64
+	NoRoom, Paces, Moves, Copies, HeldUp                 int64
 }
 
 // job is the durable state of a job with the part that the planner keeps in
@@ -160,8 +161,10 @@
 	claim order.Claim
 	// waitingSince is when a placement first left tasks of the step waiting.
 	waitingSince time.Time
-	// logged is set once the log has the reason for the wait.
-	logged bool
+	// nextLog is how long the tasks must have waited before the reason is logged again.
+	nextLog time.Duration
+	// heldUp is set once the tasks are counted in Stats.HeldUp.
+	heldUp bool
 }
 
 // ProofValidity is how long a planner keeps sending orders and renewing leases
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -175,13 +175,24 @@
 // beside it. At most 0.3 of that utilization counts, so that in a flood of fillers
 // those that disturb little don't take the workers that can bear the others.
 func (p *Planner) fillerScore(h *hosts.Host, step sched.Step) (float64, bool) {
-	v := p.fillerRoom(h)
-	part := h.ProcessorShare(step.Needs.Processors)
-	speed := min(1, v.idle/(v.demand+part))
-	if v.room.SlackWith(step.Image, part) < 0 || speed < minFillerSpeed {
+	slack, speed := p.slackWith(h, &step), p.fillerSpeed(h, &step)
+	if slack < 0 || speed < minFillerSpeed {
 		return 0, false
 	}
-	return speedWeight*speed + min(0.3, v.room.SlackWith(step.Image, part)), true
+	return speedWeight*speed + min(0.3, slack), true
+}
+
+// slackWith returns the least slack of the serving tasks on a worker with another
+// filler task of the step beside them.
+func (p *Planner) slackWith(h *hosts.Host, step *sched.Step) float64 {
+	return p.fillerRoom(h).room.SlackWith(step.Image, h.ProcessorShare(step.Needs.Processors))
+}
+
+// fillerSpeed returns the share of its full speed that another filler task of the step
+// would have on a worker.
+func (p *Planner) fillerSpeed(h *hosts.Host, step *sched.Step) float64 {
+	v := p.fillerRoom(h)
+	return min(1, v.idle/(v.demand+h.ProcessorShare(step.Needs.Processors)))
 }
 
 // fillerRoom is the room of a worker for fillers.
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -6,8 +6,15 @@
 	"go.uber.org/zap"
 )
 
-// waitingLogDelay is how long a step waits before the reason is logged.
-const waitingLogDelay = time.Second
+const (
+	// waitingLogDelay is how long a step waits before the reason is logged. Each
+	// further line follows when the step has waited waitingLogFactor times as long.
+	waitingLogDelay  = time.Second
+	waitingLogFactor = 3
+	// heldUpDelay is how long a step waits, with room on a worker, before its tasks
+	// count as held up. Users expect a task for which there is room to run by then.
+	heldUpDelay = 3 * time.Second
+)
 
 // logPlaced logs how many tasks of a step were placed in a pass, if any.
 func (p *Planner) logPlaced(now time.Time, w *waitingStep, placed int) {
@@ -20,34 +27,58 @@
 		zap.Duration("age", now.Sub(w.claim.Due)))
 }
 
-// logWaiting logs once why tasks of a step have waited for waitingLogDelay: how
-// many workers can't be used, lack room, or have serving tasks that can't bear
-// the filler.
-func (p *Planner) logWaiting(now time.Time, w *waitingStep) {
-	if w.waitingSince.IsZero() {
-		w.waitingSince = now
-	}
-	if w.logged || now.Sub(w.waitingSince) < waitingLogDelay {
-		return
-	}
-	w.logged = true
+// obstacles counts the workers that don't take a task of a step, by the reason. The
+// first one that applies counts.
+type obstacles struct {
+	// unusable workers are not in service for the step, full ones lack room, suspected
+	// ones have room and are avoided, and those that are disturbed or slow have serving
+	// tasks that can't bear the filler, or leave it too few processors.
+	unusable, full, suspected, disturbed, slow int
+}
+
+// obstaclesOf returns what keeps the tasks of a waiting step off the workers.
+func (p *Planner) obstaclesOf(now time.Time, w *waitingStep) obstacles {
+	var o obstacles
 	step := &w.job.Steps[w.step]
-	unusable, full, disturbed := 0, 0, 0
 	for _, h := range p.workers {
 		switch {
-		case !p.usable(now, h, w.job.Queue.Service, step):
-			unusable++
+		case !p.inService(now, h, w.job.Queue.Service, step):
+			o.unusable++
 		case !step.Counted().Fits(h.Free()) || p.atTaskLimit(w, step, h):
-			full++
-		default:
-			if _, fits := p.score(h, waitingStepRef(w), step); !fits {
-				disturbed++
-			}
+			o.full++
+		case p.judge.Avoid(now, h.ID):
+			o.suspected++
+		case step.Filler && p.slackWith(h, step) < 0:
+			o.disturbed++
+		case step.Filler && p.fillerSpeed(h, step) < minFillerSpeed:
+			o.slow++
 		}
 	}
+	return o
+}
+
+// logWaiting logs why tasks of a step wait, after waitingLogDelay and now and then
+// after that, and counts those that have waited for heldUpDelay with room on a worker.
+func (p *Planner) logWaiting(now time.Time, w *waitingStep) {
+	if w.waitingSince.IsZero() {
+		w.waitingSince, w.nextLog = now, waitingLogDelay
+	}
+	waited := now.Sub(w.waitingSince)
+	if waited < w.nextLog {
+		return
+	}
+	for w.nextLog <= waited {
+		w.nextLog *= waitingLogFactor
+	}
+	o := p.obstaclesOf(now, w)
+	if waited >= heldUpDelay && !w.heldUp && o.unusable+o.full < len(p.workers) {
+		w.heldUp = true
+		p.stats.HeldUp += int64(len(w.tasks))
+	}
 	p.options.Log.Info("stepWaiting", zap.String("job", string(w.job.ID)),
-		zap.Int("occurrence", w.occurrence.Number), zap.Int("step", w.step),
-		zap.Int("waiting", len(w.tasks)), zap.Int("class", int(w.claim.Class)), zap.Bool("filler", step.Filler),
-		zap.Int("workers", len(p.workers)), zap.Int("unusable", unusable), zap.Int("full", full),
-		zap.Int("disturbed", disturbed), zap.Int("steps", len(p.waitingSteps)))
+		zap.Int("occurrence", w.occurrence.Number), zap.Int("step", w.step), zap.Duration("waited", waited),
+		zap.Int("waiting", len(w.tasks)), zap.Int("class", int(w.claim.Class)), zap.Bool("filler", w.job.Steps[w.step].Filler),
+		zap.Int("workers", len(p.workers)), zap.Int("unusable", o.unusable), zap.Int("full", o.full),
+		zap.Int("suspected", o.suspected), zap.Int("disturbed", o.disturbed), zap.Int("slow", o.slow),
+		zap.Int("steps", len(p.waitingSteps)))
 }
