Let fillers start throttled when no worker can bear them at full pace

Fillers don't count against the room.

Cause: fillerScore refuses each worker whose serving tasks can't bear the filler at full pace, or which leaves it under half of its speed, with no end to it. Yet the paces would let such a filler work in the valleys of the serving load.

Once a step has waited for 2 s while none of its tasks ran, one task goes to the worker that it disturbs least, if at most 0.6 of the service's processors are in use. It starts under a pace that is ordered with the answer to its start, not after the next report. It yields: other fillers are placed and paced as if it weren't there. There is one at a time on a worker, and none beside a throttled filler. Before it is moved for a pause it waits twice as long with each run.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -14,11 +14,14 @@
 	// failedOnPenalty is taken off the score of a worker on which the task has
 	// failed before.
 	failedOnPenalty = 3.0
+	// lastResortPenalty is taken off the score of a worker that only an overdue step
+	// may use. It outweighs everything else.
+	lastResortPenalty = 100.0
 )
 
 // chooseWorker returns the best worker for a task, nil if none has room.
 func (p *Planner) chooseWorker(now time.Time, w *waitingStep, index int) *hosts.Host {
-	return p.rank(now, w).best(index)
+	return p.rank(now, w).best(index).Host
 }
 
 // ranking holds the scores of the workers for the tasks of one step. Tasks of a
@@ -39,6 +42,8 @@
 type scoredWorker struct {
 	*hosts.Host
 	score float64
+	// lastResort is set if only an overdue step may use the worker.
+	lastResort bool
 }
 
 // rank scores all workers that have room for a task of the step.
@@ -46,31 +51,36 @@
 	r := &ranking{planner: p, now: now, waitingStep: w, step: &w.job.Steps[w.step]}
 	r.rack = p.preferredRack(w, r.step)
 	for _, h := range p.workers {
-		if score, fits := r.rate(h); fits {
-			r.candidates = append(r.candidates, scoredWorker{h, score})
+		if c, fits := r.rate(h); fits {
+			r.candidates = append(r.candidates, c)
 		}
 	}
 	return r
 }
 
-// rate returns the score of a worker, and whether a task may go there.
-func (r *ranking) rate(h *hosts.Host) (float64, bool) {
-	p := r.planner
+// rate scores a worker, and reports whether a task may go there.
+func (r *ranking) rate(h *hosts.Host) (scoredWorker, bool) {
+	p, c := r.planner, scoredWorker{Host: h}
 	// The room is compared first: it is the cheapest test and fails most often.
 	if !r.step.Counted().Fits(h.Free()) || !p.usable(r.now, h, r.waitingStep.job.Queue.Service, r.step) ||
 		p.atTaskLimit(r.waitingStep, r.step, h) || !p.hasTicket(r.now, r.waitingStep, h) {
-		return 0, false
+		return c, false
+	}
+	var fits bool
+	c.score, fits = p.score(h, waitingStepRef(r.waitingStep), r.step)
+	if !fits && r.waitingStep.overdue {
+		c.score, fits = p.crowdedScore(h, r.step)
+		c.score, c.lastResort = c.score-lastResortPenalty, true
 	}
-	score, fits := p.score(h, waitingStepRef(r.waitingStep), r.step)
 	if r.rack != "" && h.Rack() == r.rack {
-		score += rackWeight
+		c.score += rackWeight
 	}
-	return score, fits
+	return c, fits
 }
 
-// best returns the worker with the highest score for a task, nil if there is
-// none. Ties go to the lowest id.
-func (r *ranking) best(index int) *hosts.Host {
+// best returns the worker with the highest score for a task, without a Host if there
+// is none. Ties go to the lowest id.
+func (r *ranking) best(index int) scoredWorker {
 	failedBefore := r.waitingStep.occurrence.Steps[r.waitingStep.step].Tasks[index].Failures > 0
 	var name sched.TaskID
 	if failedBefore {
@@ -85,7 +95,7 @@
 			best = h
 		}
 	}
-	return best.Host
+	return best
 }
 
 // updateAfterPlacing scores a worker again after it got a task. All workers are
@@ -99,9 +109,8 @@
 		if r.candidates[k].Host != h {
 			continue
 		}
-		score, fits := r.rate(h)
-		if fits {
-			r.candidates[k].score = score
+		if c, fits := r.rate(h); fits {
+			r.candidates[k] = c
 			return
 		}
 		r.candidates[k] = r.candidates[len(r.candidates)-1]
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
+	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
 	"github.com/parsleybarrow/parsleybarrow/pkg/order"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -28,11 +29,13 @@
 	slices.SortStableFunc(p.waitingSteps, func(a, b *waitingStep) int { return order.Compare(a.claim, b.claim) })
 	rest := p.waitingSteps[:0]
 	var full noRoom
+	use := map[string]float64{}
 	for _, w := range p.waitingSteps {
 		w.dropSettled()
 		if w.job.State.Final() || len(w.tasks) == 0 {
 			continue
 		}
+		w.overdue = p.isOverdue(now, w, use)
 		if n := roomNeedOf(w); !full.covers(n) && !p.placeStep(now, w) {
 			full = append(full, n)
 		}
@@ -52,6 +55,46 @@
 	w.tasks = slices.DeleteFunc(w.tasks, func(k int) bool { return tasks[k].Done || len(tasks[k].Runs) > 0 })
 }
 
+const (
+	// lastResortDelay is how long a step waits before one of its tasks may go to a
+	// worker that suits it less. The record of the run and its start fit before
+	// heldUpDelay.
+	lastResortDelay = 2 * time.Second
+	// maxLastResortUse is the share of a service's processors in use above which
+	// tasks wait for a worker that suits them: on a busy service, those that run would
+	// pay for it.
+	maxLastResortUse = 0.6
+)
+
+// isOverdue reports whether tasks of a step have waited for lastResortDelay while none
+// of the step ran and much of the service was unused. Lasting tasks are all needed, so
+// each of them counts, however busy the service is.
+func (p *Planner) isOverdue(now time.Time, w *waitingStep, use map[string]float64) bool {
+	if w.waitingSince.IsZero() || now.Sub(w.waitingSince) < lastResortDelay || now.Sub(w.lastResortAt) < lastResortDelay {
+		return false
+	}
+	if w.job.Steps[w.step].Lasting {
+		return true
+	}
+	service := w.job.Queue.Service
+	if _, known := use[service]; !known {
+		use[service] = p.processorUse(service)
+	}
+	return use[service] <= maxLastResortUse &&
+		!slices.ContainsFunc(w.occurrence.Steps[w.step].Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 })
+}
+
+// processorUse returns the share of the processors of a service that is in use.
+func (p *Planner) processorUse(service string) float64 {
+	used, capacity := int64(0), int64(0)
+	for _, h := range p.workers {
+		if h.Listed && h.Service == service {
+			used, capacity = used+h.Used.Processors, capacity+h.Capacity.Processors
+		}
+	}
+	return float64(used) / float64(max(1, capacity))
+}
+
 // roomNeed is what decides whether the workers have room for tasks of a step.
 type roomNeed struct {
 	service, label string
@@ -59,14 +102,16 @@
 	// depends on its image then. image is empty otherwise.
 	filler bool
 	image  string
-	needs  sched.Resources
+	// overdue steps may use workers that others don't.
+	overdue bool
+	needs   sched.Resources
 	// members is how many tasks must have room at the same time: all of a gang.
 	members int
 }
 
 func roomNeedOf(w *waitingStep) roomNeed {
 	s := &w.job.Steps[w.step]
-	n := roomNeed{service: w.job.Queue.Service, label: s.Label, needs: s.Counted(), members: 1}
+	n := roomNeed{service: w.job.Queue.Service, label: s.Label, overdue: w.overdue, needs: s.Counted(), members: 1}
 	switch {
 	case s.Gang:
 		n.members = s.Tasks
@@ -87,7 +132,7 @@
 func (f noRoom) covers(n roomNeed) bool {
 	for _, x := range f {
 		if x.service == n.service && x.label == n.label && x.filler == n.filler && x.image == n.image &&
-			x.members <= n.members && x.needs.Fits(n.needs) {
+			(x.overdue || !n.overdue) && x.members <= n.members && x.needs.Fits(n.needs) {
 			return true
 		}
 	}
@@ -129,19 +174,33 @@
 	for len(w.tasks) > 0 {
 		index := w.tasks[0]
 		h := r.best(index)
-		if h == nil {
+		if h.Host == nil {
 			return step.PerWorker > 0 || w.job.Queue.Advice != nil
 		}
 		w.tasks = w.tasks[1:]
-		p.placeTask(now, w, index, h, w.occurrence.Steps[w.step].Tasks[index].LastRun+1)
-		r.updateAfterPlacing(h)
+		s := p.placeTask(now, w, index, h.Host, w.occurrence.Steps[w.step].Tasks[index].LastRun+1)
+		if h.lastResort {
+			p.useLastResort(now, w, s)
+			if !step.Lasting {
+				return true
+			}
+		}
+		r.updateAfterPlacing(h.Host)
 	}
 	return true
 }
 
-// placeTask gives a task a run with number n on a worker. The start order is sent
-// once the placement is durable.
-func (p *Planner) placeTask(now time.Time, w *waitingStep, index int, h *hosts.Host, n sched.RunNumber) {
+// useLastResort notes that a run was placed on a worker that suits it less.
+func (p *Planner) useLastResort(now time.Time, w *waitingStep, s *hosts.Slot) {
+	w.lastResortAt = now
+	s.Crowded = s.Step.Filler
+	p.options.Log.Info("lastResort", zap.Stringer("task", s.Task), zap.Int32("run", int32(s.Run)),
+		zap.Bool("filler", s.Step.Filler), zap.Duration("waited", now.Sub(w.waitingSince)))
+}
+
+// placeTask gives a task a run with number n on a worker, and returns its slot. The
+// start order is sent once the placement is durable.
+func (p *Planner) placeTask(now time.Time, w *waitingStep, index int, h *hosts.Host, n sched.RunNumber) *hosts.Slot {
 	j := w.job
 	w.occurrence.Steps[w.step].Tasks[index].AddRun(n, h.ID)
 	key := hosts.Key{Task: w.taskRef(index), Run: n}
@@ -155,6 +214,7 @@
 		zap.Bool("filler", slot.Step.Filler), zap.Bool("lasting", slot.Step.Lasting))
 	j.pendingStarts = append(j.pendingStarts, placement{h.ID, key})
 	p.markDirty(j)
+	return slot
 }
 
 // taskRef returns the reference of the task of the step with the index.
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -163,6 +163,10 @@
 	waitingSince time.Time
 	// nextLog is how long the tasks must have waited before the reason is logged again.
 	nextLog time.Duration
+	// overdue is set in a pass in which a task may go to a worker that suits it less.
+	// lastResortAt is when one was last placed that way.
+	overdue      bool
+	lastResortAt time.Time
 	// heldUp is set once the tasks are counted in Stats.HeldUp.
 	heldUp bool
 }
--- a/pkg/cell/room_test.go
+++ b/pkg/cell/room_test.go
@@ -19,6 +19,7 @@
 		{service: "s", needs: need(4000, 8), members: 1},
 		{service: "s", filler: true, image: "x", needs: need(2000, 4), members: 1},
 		{service: "s", needs: need(1000, 2), members: 4},
+		{service: "s", filler: true, image: "z", overdue: true, needs: need(2000, 4), members: 1},
 	}
 	rows := []struct {
 		name   string
@@ -39,6 +40,8 @@
 		{"a gang of as many", roomNeed{service: "s", needs: need(1000, 3), members: 4}, true},
 		{"a gang of more", roomNeed{service: "s", needs: need(1000, 2), members: 5}, true},
 		{"no filler, with less than a full need", roomNeed{service: "s", needs: need(2000, 5), members: 1}, false},
+		{"overdue filler of the image", roomNeed{service: "s", filler: true, image: "x", overdue: true, needs: need(2000, 5), members: 1}, false},
+		{"filler of the image of an overdue one", roomNeed{service: "s", filler: true, image: "z", needs: need(2000, 5), members: 1}, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -72,6 +72,8 @@
 const (
 	// maxFillerPause is how long a filler pauses before it is moved elsewhere.
 	maxFillerPause = 700 * time.Millisecond
+	// maxPauseDoublings bounds how often the pause of a crowded filler doubles.
+	maxPauseDoublings = 5
 	// maxDiscardedPercent is the progress, in percent, up to which a filler
 	// without a checkpoint is moved.
 	maxDiscardedPercent = 20
@@ -82,11 +84,16 @@
 
 // movePausedFiller stops one filler that has paused for maxFillerPause if another
 // worker has room for it. The load of a service goes up and down over many
-// seconds, longer than most fillers run, so waiting rarely pays.
+// seconds, longer than most fillers run, so waiting rarely pays. A crowded filler
+// pauses twice as long with each run, so that it doesn't move over and over.
 func (p *Planner) movePausedFiller(now time.Time, slots []*hosts.Slot) {
 	for _, s := range slots {
 		keepsWork := s.Step.Checkpoints && s.Checkpoint != "" || s.Percent <= maxDiscardedPercent
-		if s.Pace != 0 || now.Sub(s.Paused) < maxFillerPause || !keepsWork {
+		pause := maxFillerPause
+		if s.Crowded {
+			pause <<= min(s.Run-1, maxPauseDoublings)
+		}
+		if s.Pace != 0 || now.Sub(s.Paused) < pause || !keepsWork {
 			continue
 		}
 		if h := p.fillerRoomElsewhere(now, s); h != nil {
@@ -130,7 +137,7 @@
 }
 
 // runningFillers returns the started fillers on a worker, in the order of their
-// claims.
+// claims. Crowded ones come last: they get what the others leave.
 func (p *Planner) runningFillers(now time.Time, h *hosts.Host) []*hosts.Slot {
 	var out []*hosts.Slot
 	claims := map[*hosts.Slot]order.Claim{}
@@ -143,7 +150,7 @@
 		claims[s] = p.claimOf(now, j, s.Task.Occurrence, s.Task.Step)
 	}
 	slices.SortFunc(out, func(a, b *hosts.Slot) int {
-		return cmp.Or(order.Compare(claims[a], claims[b]), cmp.Compare(a.Task.String(), b.Task.String()))
+		return cmp.Or(compareTrueFirst(b.Crowded, a.Crowded), order.Compare(claims[a], claims[b]), cmp.Compare(a.Task.String(), b.Task.String()))
 	})
 	return out
 }
@@ -182,6 +189,20 @@
 	return speedWeight*speed + min(0.3, slack), true
 }
 
+// crowdedScore returns the score of a worker for a filler task of an overdue step, which
+// the serving tasks there can't bear at full pace, or which leaves too few processors
+// for full speed. It reports whether the task may go there: one such filler at a time,
+// on a worker without throttled ones.
+func (p *Planner) crowdedScore(h *hosts.Host, step *sched.Step) (float64, bool) {
+	for _, s := range h.Slots {
+		if s.Step.Filler && (s.Crowded || s.Pace != fullPace) {
+			return 0, false
+		}
+	}
+	speed := p.fillerSpeed(h, step)
+	return min(0.3, p.slackWith(h, step)) + speedWeight*speed, speed > 0
+}
+
 // slackWith returns the least slack of the serving tasks on a worker with another
 // filler task of the step beside them.
 func (p *Planner) slackWith(h *hosts.Host, step *sched.Step) float64 {
@@ -220,6 +241,7 @@
 		switch {
 		case s.Serving != nil:
 			v.idle -= need * s.Serving.Expected()
+		case s.Step.Filler && s.Crowded:
 		case s.Step.Filler:
 			v.demand += need
 		default:
--- a/pkg/cell/share_test.go
+++ b/pkg/cell/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
 	"github.com/parsleybarrow/parsleybarrow/pkg/order"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/share"
@@ -151,3 +153,142 @@
 	i.True(len(last) > 0)
 	i.True(last[len(last)-1].ContextMap()["waited"].(time.Duration) >= 3*time.Second)
 }
+
+// Guards against a filler that waits for ever since every serving task is disturbed too
+// much by it at full pace, and against one that then works at full pace until the next
+// report.
+func TestAFillerThatEveryServingTaskMindsStartsThrottled(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	i.NoErr(r.planner.Learn(heavyFillers(1.5)))
+	serving := r.serveEverywhere(3)
+	for range 20 {
+		r.pass(250 * time.Millisecond)
+		r.report(serving, nil, 9*time.Millisecond) // a load of 0.44, far below the bound
+	}
+	f := fillerStep()
+	f.Tasks = 4
+	r.submit(job("f", f))
+	var started []cell.StartCall
+	for range 12 { // 3 s
+		r.commit()
+		for _, s := range r.starts() {
+			r.effects.Paces = nil
+			started = append(started, s)
+			r.start(s, nil)
+			i.Equal(len(r.effects.Paces), 1)
+			i.Equal(r.effects.Paces[0].Order.Percent, 40)
+		}
+		r.pass(250 * time.Millisecond)
+		r.report(serving, started, 9*time.Millisecond)
+	}
+	i.Equal(len(started), 1) // the others wait until it has ended, or for room
+}
+
+// sharedWorkers simulates workers with a serving task each, whose load goes up and down,
+// and with fillers of which each takes 4 s at full pace.
+type sharedWorkers struct {
+	serving map[sched.InstanceID]cell.StartCall
+	runs    map[hosts.Key]*fillerRun
+	ends    map[sched.InstanceID][]sched.EndedRun
+	// factor is what a filler that uses all processors adds to the utilization.
+	factor float64
+	// over is how long each serving task has been over its goal, and longest the longest
+	// such time.
+	over    map[sched.InstanceID]time.Duration
+	longest time.Duration
+	done    int
+}
+
+// fillerRun is the run of a filler with its pace and its progress in percent.
+type fillerRun struct {
+	cell.StartCall
+	pace, percent float64
+}
+
+const fillerPart = 3500.0 / 16000
+
+// end lists the end of a run.
+func (w *sharedWorkers) end(k hosts.Key, e sched.RunEnd) {
+	if f := w.runs[k]; f != nil {
+		id := f.Worker.ID
+		w.ends[id] = append(w.ends[id], sched.EndedRun{
+			Number: int64(len(w.ends[id]) + 1), Task: k.Task, Run: k.Run, End: e,
+		})
+		delete(w.runs, k)
+	}
+}
+
+// step carries out the pending orders, lets the fillers work for the given time beside
+// the load, and answers the exchanges.
+func (w *sharedWorkers) step(r *rig, d time.Duration, load float64) {
+	r.pass(d)
+	for _, s := range r.starts() {
+		w.runs[keyOf(s)] = &fillerRun{s, 100, 0}
+		r.start(s, nil)
+	}
+	for _, x := range r.effects.Paces {
+		if f := w.runs[hosts.Key{Task: x.Order.Task, Run: x.Order.Run}]; f != nil {
+			f.pace = float64(x.Order.Percent)
+		}
+	}
+	for _, x := range r.effects.Stops {
+		w.end(hosts.Key{Task: x.Order.Task, Run: x.Order.Run}, sched.EndStopped)
+	}
+	r.effects.Paces, r.effects.Stops = nil, nil
+	used := map[sched.InstanceID]float64{}
+	for k, f := range w.runs {
+		used[f.Worker.ID] += w.factor * fillerPart * f.pace / 100
+		if f.percent += f.pace * d.Seconds() / 4; f.percent >= 100 {
+			w.done++
+			w.end(k, sched.EndDone)
+		}
+	}
+	for id := range w.serving {
+		if w.over[id] += d; load+used[id] <= 0.8 {
+			w.over[id] = 0
+		}
+		w.longest = max(w.longest, w.over[id])
+	}
+	for _, l := range slices.Clone(r.effects.Leases) {
+		id := l.Worker.ID
+		s := running(w.serving[id], 100)
+		s.Measurement = int64(math.Ceil(5 / (1 - min(load+used[id], 0.99))))
+		a := sched.LeaseAnswer{Running: []sched.RunningRun{s}, Ended: w.ends[id]}
+		for _, f := range w.runs {
+			if f.Worker.ID == id {
+				x := running(f.StartCall, int(f.percent))
+				x.Measurement = int64(3500 * f.pace / 100)
+				a.Running = append(a.Running, x)
+			}
+		}
+		r.exchange(id, a, nil)
+	}
+	r.commit()
+}
+
+// Guards against fillers that don't work even while the load of the serving tasks that
+// they disturb is low, and against some that keep a serving task over its goal.
+func TestThrottledFillersWorkWhileTheServingLoadIsLow(t *testing.T) {
+	for _, factor := range []float64{1.5, 3, 5} {
+		i := is.New(t)
+		r := newRig(t)
+		i.NoErr(r.planner.Learn(heavyFillers(factor)))
+		w := &sharedWorkers{
+			serving: r.serveEverywhere(3), runs: map[hosts.Key]*fillerRun{}, ends: map[sched.InstanceID][]sched.EndedRun{},
+			factor: factor, over: map[sched.InstanceID]time.Duration{},
+		}
+		for k := range 6 {
+			f := fillerStep()
+			f.Tasks, f.Needs.Processors, f.Estimate = 2, 3500, 4*time.Second
+			r.submit(job(fmt.Sprint("f", k), f))
+		}
+		for n := range 160 {
+			const d = 250 * time.Millisecond
+			w.step(r, d, 0.45*(1+0.5*math.Sin(2*math.Pi*float64(n)*d.Seconds()/20)))
+		}
+		t.Logf("factor %v: %d fillers done in 40 s, over the goal for %v at most", factor, w.done, w.longest)
+		i.True(w.done > 0)
+		i.True(w.longest < 4*time.Second)
+	}
+}
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -246,6 +246,9 @@
 		if s.Phase == hosts.Ordered {
 			s.Clock = r.Answer.Clock
 			p.runStarted(now, s)
+			if s.Crowded {
+				p.setPaces(now, h) // the next report may be too late for the serving tasks
+			}
 		}
 		if now.Before(h.NextExchangeAt) {
 			h.NextExchangeAt = minTime(h.NextExchangeAt, now.Add(exchangePause))
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -81,6 +81,9 @@
 	// when a pace of 0 was last ordered.
 	Pace   int
 	Paused time.Time
+	// Crowded is set for a filler that was placed although the tasks beside it can't
+	// bear it at full pace.
+	Crowded bool
 }
 
 // minRateSpan is the shortest time over which a rate is measured. Progress is
@@ -264,11 +267,12 @@
 }
 
 // FillerMix returns the share of the worker's processors that its fillers would use at
-// full pace, by image. Fillers that are being stopped don't count.
+// full pace, by image. Fillers that are being stopped don't count, nor do crowded ones,
+// which yield to the others.
 func (h *Host) FillerMix() share.Mix {
 	x := share.Mix{}
 	for _, s := range h.Slots {
-		if s.Step.Filler && !s.Stopping {
+		if s.Step.Filler && !s.Stopping && !s.Crowded {
 			x[s.Step.Image] += h.ProcessorShare(s.Step.Needs.Processors)
 		}
 	}
