--- a/internal/emu/book/book.go
+++ b/internal/emu/book/book.go
@@ -24,6 +24,11 @@
 	// LoadPhase shifts the periodic load of serving tasks, as a fraction of the
 	// period.
 	LoadPhase float64
+	// CrashTasks is the number of tasks of the step CrashStep that crash every
+	// worker that runs them, beginning with the first. CrashAfter is the time from
+	// the start of a run until the crash.
+	CrashTasks, CrashStep int
+	CrashAfter            time.Duration
 }
 
 // Jobs holds the ground truth of all jobs, by job ID. It is safe for concurrent
@@ -83,6 +88,13 @@
 	return time.Duration(spread * float64(t.MeanRunTimes[r.Step]))
 }
 
+// CrashTime returns the time from the start of a task's run until the run crashes its
+// worker, and false if it doesn't.
+func (b *Jobs) CrashTime(r sched.TaskRef) (time.Duration, bool) {
+	t, _, known := b.Step(r)
+	return t.CrashAfter, known && r.Step == t.CrashStep && r.Index < t.CrashTasks
+}
+
 // FailureFraction returns the fraction of its work at which a run fails on a healthy
 // worker. A result above 1 means that it doesn't fail.
 func (b *Jobs) FailureFraction(r sched.TaskRef, n sched.RunNumber) float64 {
--- a/internal/emu/work/advance.go
+++ b/internal/emu/work/advance.go
@@ -18,13 +18,9 @@
 const figureWindow = 500 * time.Millisecond
 
 // Advance advances the worker to the given time, in steps of at most timeStep if
-// it has runs.
+// it has runs. A run may crash the worker meanwhile.
 func (w *Worker) Advance(to time.Time) {
-	if w.Down {
-		w.now = to
-		return
-	}
-	for w.now.Before(to) {
+	for !w.Down && w.now.Before(to) {
 		d := min(timeStep, to.Sub(w.now))
 		if len(w.runs) == 0 {
 			d = to.Sub(w.now)
@@ -32,6 +28,9 @@
 		w.now = w.now.Add(d)
 		w.advanceStep(d)
 	}
+	if w.Down {
+		w.now = to
+	}
 }
 
 // advanceStep ends all runs if the lease has expired, and advances the others by d.
@@ -46,6 +45,12 @@
 	if len(w.runs) == 0 {
 		return
 	}
+	for _, k := range w.runOrder {
+		if t := w.runs[k].crashAt; !t.IsZero() && !w.now.Before(t) {
+			w.crash(w.now, k)
+			return
+		}
+	}
 	speed := w.fillerSpeed()
 	for _, k := range slices.Clone(w.runOrder) {
 		if r := w.runs[k]; r != nil {
--- a/internal/emu/work/rules.go
+++ b/internal/emu/work/rules.go
@@ -68,7 +68,8 @@
 	Acknowledged(at time.Time, w *Worker, k RunKey, how sched.RunEnd, lapsed bool)
 	// Saved reports that a run of a task wrote a checkpoint.
 	Saved(r sched.TaskRef, c sched.CheckpointID)
-	// Crashed reports that the worker and all of its runs ended.
+	// Crashed reports that the worker and all of its runs ended. The worker's
+	// CrashedBy tells whether one of the runs was the cause.
 	Crashed(at time.Time, w *Worker)
 }
 
--- a/internal/emu/work/worker.go
+++ b/internal/emu/work/worker.go
@@ -31,8 +31,13 @@
 	Failing bool
 	// Refusing makes the worker refuse start and lease orders as unhealthy.
 	Refusing bool
-	// Down is set from a crash until the next Begin.
-	Down bool
+	// Down is set from a crash until the next Begin, and DownSince is the time of the
+	// last crash.
+	Down      bool
+	DownSince time.Time
+	// CrashedBy is the run that crashed the worker, zero if the crash had another
+	// cause or the worker has begun again.
+	CrashedBy RunKey
 
 	startedAt  time.Time
 	now        time.Time
@@ -72,6 +77,8 @@
 	// failsAt is the fraction of the work at which the run fails, above 1 if it
 	// doesn't.
 	failsAt float64
+	// crashAt is when the run crashes the worker, zero if it doesn't.
+	crashAt time.Time
 	// pace is the fraction of its full speed that the run may reach.
 	pace float64
 	// stopAt is when an ordered stop takes effect, zero without a stop order.
@@ -99,18 +106,25 @@
 	w.token, w.leaseUntil, w.lastEnd, w.noted, w.lapses, w.lapsed = 0, 0, 0, 0, 0, false
 	w.runs, w.runOrder, w.unackedEnds = map[RunKey]*run{}, nil, nil
 	w.highestRun = map[sched.TaskRef]sched.RunNumber{}
-	w.Down = false
+	w.Down, w.CrashedBy = false, RunKey{}
 }
 
 // Crash ends the present life of the worker and all runs on it, and drops ends
-// that were not acknowledged.
+// that were not acknowledged. It has no effect on a worker that is down.
 func (w *Worker) Crash(at time.Time) {
 	w.Advance(at)
+	if !w.Down {
+		w.crash(at, RunKey{})
+	}
+}
+
+// crash ends the present life of the worker because of a run, zero for another cause.
+func (w *Worker) crash(at time.Time, by RunKey) {
 	for _, k := range w.runOrder {
 		w.Gangs.ended(at, k, sched.EndLeaseExpired)
 	}
 	w.runs, w.runOrder, w.unackedEnds = map[RunKey]*run{}, nil, nil
-	w.Down = true
+	w.Down, w.DownSince, w.CrashedBy = true, at, by
 	w.Observer.Crashed(at, w)
 }
 
@@ -181,6 +195,9 @@
 	if w.Failing {
 		r.failsAt = 0.1
 	}
+	if after, crashes := w.Jobs.CrashTime(k.Task); crashes {
+		r.crashAt = at.Add(after)
+	}
 	if from != "" {
 		r.workDone = parseCheckpoint(from)
 		r.workSaved = r.workDone
