--- a/internal/emu/load/shape.go
+++ b/internal/emu/load/shape.go
@@ -20,6 +20,9 @@
 	// MaxMeanRunTime bounds the mean real run time of the tasks of a step. A single
 	// task may take longer by the fraction RunTimeSpread of its job.
 	MaxMeanRunTime time.Duration
+	// CrashShare is the share of jobs with tasks that crash the workers that start
+	// them.
+	CrashShare float64
 
 	jobCount int
 }
@@ -75,9 +78,26 @@
 		j.Steps[k].Estimate = time.Duration(float64(work) * (0.3 + 1.4*s.Random.Float64()))
 	}
 	t.Job = j
+	if s.CrashShare > 0 && s.chance(s.CrashShare) {
+		s.addCrash(&t)
+	}
 	return t
 }
 
+// quickCrash is the usual time from the start of a run until it crashes its worker.
+const quickCrash = 10 * time.Millisecond
+
+// addCrash makes one task, or all tasks, of one step crash their workers.
+func (s *JobGenerator) addCrash(t *book.JobTruth) {
+	t.CrashStep, t.CrashTasks, t.CrashAfter = s.Random.IntN(len(t.Job.Steps)), 1, quickCrash
+	if s.chance(0.3) {
+		t.CrashTasks = t.Job.Steps[t.CrashStep].Tasks
+	}
+	if s.chance(0.2) {
+		t.CrashAfter = time.Duration(s.between(1000, 3000)) * time.Millisecond
+	}
+}
+
 func isLasting(j sched.Job) bool { return j.Steps[0].Lasting }
 
 func (s *JobGenerator) randomNeeds() sched.Resources {
