--- a/internal/emu/site/plan_test.go
+++ b/internal/emu/site/plan_test.go
@@ -79,9 +79,7 @@
 			}
 		}, func(t *trial) {
 			for _, id := range ids {
-				if t.site.Desk(id) == nil {
-					t.site.Start(id)
-				}
+				t.startIfDown(id)
 			}
 		}
 }
--- a/internal/emu/site/site_test.go
+++ b/internal/emu/site/site_test.go
@@ -70,6 +70,8 @@
 	world      *world.World
 	site       *site.Site
 	caller     *load.Caller
+	// crashShare is the share of jobs with tasks that crash their workers.
+	crashShare float64
 }
 
 func newTrial(seed uint64) *trial {
@@ -214,6 +216,7 @@
 func (t *trial) submit(c context.Context, loops *sync.WaitGroup) {
 	s := &load.JobGenerator{
 		Random: rand.New(rand.NewPCG(t.seed, 3)), Queue: queue, Racks: racks, Labels: labels, MaxMeanRunTime: 3 * time.Second,
+		CrashShare: t.crashShare,
 	}
 	if t.cells > 1 {
 		s.Labels = nil // a cell with few workers may have none with a given label
@@ -232,9 +235,7 @@
 func (t *trial) endFaults() {
 	for n := range t.instances {
 		t.world.Thaw(instance(n))
-		if t.site.Desk(instance(n)) == nil {
-			t.site.Start(instance(n))
-		}
+		t.startIfDown(instance(n))
 		for m := range t.instances {
 			t.site.Cut(instance(n), instance(m), false)
 		}
@@ -282,10 +283,10 @@
 	}
 }
 
-// seeds returns the range of seeds to run: SITE_SEEDS ("first-last"), or 1 to 6 if
+// seeds returns the range of seeds to run: SITE_SEEDS ("first-last"), or 1 to usual if
 // that isn't set.
-func seeds() (first, last uint64) {
-	first, last = 1, 6
+func seeds(usual uint64) (first, last uint64) {
+	first, last = 1, usual
 	if s := os.Getenv("SITE_SEEDS"); s != "" {
 		_, _ = fmt.Sscanf(s, "%d-%d", &first, &last)
 	}
@@ -296,7 +297,7 @@
 // job or a wrong job state, while instances are killed, frozen, cut off and
 // restarted, the store fails or loses answers, and workers crash, hang or are late.
 func TestSiteUnderFaults(t *testing.T) {
-	first, last := seeds()
+	first, last := seeds(6)
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -311,7 +312,7 @@
 // an agent that is killed, frozen, cut off or stopped must not lose an order, carry one
 // out that is void, or keep workers out of use.
 func TestSiteWithAgentsUnderFaults(t *testing.T) {
-	first, last := seeds()
+	first, last := seeds(6)
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
