Place nothing on a worker that reports runs the planner doesn't have

What was seen: workers that don't guard their capacity were brought over it just after a cell was handed over. Tasks on such a worker slow each other down; on a worker that guards, the starts are refused and the tasks wait longer.

Cause: a planner that takes over restores the runs of a job only if it has the job's steps. Those of an ended job are deleted, so its runs that are still being stopped are unknown. stopStray ordered their stop, but nothing counted what they take until their end. The class of fault: room that is computed from the planner's own orders only, though the worker's report says more.

Fix: Host.Strays counts the runs in the newest report that the planner doesn't have. While there are any, nothing is placed on the worker, and a run that was placed before the report isn't started. This doesn't depend on why a run is unknown. The count is replaced with each report; a report under an earlier life is ignored, and a worker whose life or token changed isn't used before its next report anyway (RunsKnown).

The other way would be to count such runs with their needs where the planner has the job's steps. The case above has no steps, so that way needs the present one as well. A stop takes at most 0.9 s, so little is gained by it.

A worker can't stay unused for ever: the stop order is repeated with each exchange. A worker with nothing but unknown runs is now asked again at once, and its answer waits for an end; before, the next exchange was due after 8 s. Its lease isn't renewed for such runs, so they end with the lease at the latest.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -156,10 +156,10 @@
 }
 
 // inService reports whether the worker is listed, in contact, not draining, of the
-// service and with the label of the step, and hasn't just refused a start for lack of
-// room.
+// service and with the label of the step, has no runs of unknown needs, and hasn't
+// just refused a start for lack of room.
 func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
-	return h.Listed && h.RunsKnown && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
+	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
 		(step.Label == "" || slices.Contains(h.Labels, step.Label))
 }
 
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -81,7 +81,7 @@
 		if h.Failures == 0 && len(h.Slots) > 0 {
 			o.Lease = h.Grant(now, p.options.LeaseLimit)
 		}
-		if h.RunsKnown && h.Failures == 0 && len(h.Slots) > 0 && o.Lease > 0 {
+		if h.RunsKnown && h.Failures == 0 && (o.Lease > 0 || h.Strays > 0) {
 			o.Wait = exchangeWait
 			if h.Shared() {
 				o.Wait = min(exchangeWait, max(minSharedWait, time.Duration(len(p.workers))*time.Second/maxSharedExchangeRate))
@@ -130,7 +130,7 @@
 	p.reconcileRuns(now, h, r)
 	p.updatePaces(now, h)
 	h.NextExchangeAt = now.Add(exchangePause)
-	if len(h.Slots) == 0 && h.AppliedEnd == h.DurableEnd && h.AckedEnd == h.DurableEnd && h.RunsKnown {
+	if len(h.Slots) == 0 && h.Strays == 0 && h.AppliedEnd == h.DurableEnd && h.AckedEnd == h.DurableEnd && h.RunsKnown {
 		h.NextExchangeAt = now.Add(idleExchangePause)
 	}
 }
@@ -167,11 +167,13 @@
 // have any more are lost.
 func (p *Planner) reconcileRuns(now time.Time, h *hosts.Host, r LeaseResult) {
 	listed := make(map[hosts.Key]bool, len(r.Answer.Running))
+	h.Strays = 0
 	for _, x := range r.Answer.Running {
 		k := hosts.Key{Task: x.Task, Run: x.Run}
 		listed[k] = true
 		s := h.Slots[k]
 		if s == nil {
+			h.Strays++
 			p.stopStray(h, k)
 			continue
 		}
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -139,6 +139,9 @@
 	// RunsKnown is set once an exchange under the present token and life has listed
 	// the runs on the worker.
 	RunsKnown bool
+	// Strays is the number of runs that the newest report lists and Slots doesn't
+	// have. What they need isn't known.
+	Strays int
 	// Failures counts the calls in a row that the worker didn't answer or refused
 	// as unhealthy.
 	Failures int
