Count failures that are listed after the run was given up with its lease

What is seen: a task whose attempts are used up is started once more, and its job shows as active, or completed, instead of failed.

Trace of a failing play: run 1 fails on w6 while w6 refuses all calls (23.93 to 32.55 s); runLost leaseEnded at 35.44; endOfOther with the end as failed at 35.64, acknowledged; runs 2 and 3 fail; run 4 is started, since the planner has counted two failures.

Cause: applyEnds skipped every end without a slot, also one of a run that the planner itself had given up because its lease had ended on a worker that didn't answer.

Fix: such runs are kept with the worker until its next full report (Host.GivenUp); a failure listed there counts. An end counts once in a term, since ends are numbered. Other losses need none of this: they follow from a report, which lists the ends, or from the end of the worker's life.

Remains: the note is in memory. It is lost with a hand-over between the loss and the report, and when the worker's entry is removed in between.

--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -23,12 +23,16 @@
 		s := h.Remove(k)
 		if s == nil {
 			p.logUnknownEnd(e)
+			p.applyLateEnd(now, h, e)
 			continue
 		}
 		p.stats.Ends++
 		h.Ended(now, s)
 		p.applyEnd(now, h, s, e)
 	}
+	if len(ended) < fullEndList {
+		clear(h.GivenUp)
+	}
 }
 
 // logUnknownEnd logs the end of a run that the planner doesn't have on the
@@ -238,7 +242,7 @@
 	for _, s := range h.Slots {
 		switch {
 		case over && s.Phase != hosts.Recorded:
-			p.loseRun(now, h, s, "leaseEnded")
+			p.giveUpWithLease(now, h, s)
 		case s.Stopping && now.After(s.StopAt) && p.mayOrder(now):
 			p.stopSlot(now, h, s)
 		}
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -142,6 +142,9 @@
 	// Strays is the number of runs that the newest report lists and Slots doesn't
 	// have. What they need isn't known.
 	Strays int
+	// GivenUp holds the runs that were given up with their lease and whose ends may
+	// still be listed.
+	GivenUp map[Key]*Slot
 	// Failures counts the calls in a row that the worker didn't answer or refused
 	// as unhealthy.
 	Failures int
