Let a task that has waited probe a suspected worker early

Cause: suspicion excluded a worker. It is a preference now. A step that has waited for 2 s while none of its tasks ran may use a worker whose pause has lasted for a second, the one with the weakest evidence first. The task is the worker's probe: a failure begins a longer pause, a success opens the worker to the next, and there is one at a time. Lasting tasks may each do so. A task doesn't go where it has failed before, nor with its last attempt: the pause ends within 10 s, a job that has failed stays so. A gang does so only before its first failure.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -42,8 +42,9 @@
 type scoredWorker struct {
 	*hosts.Host
 	score float64
-	// lastResort is set if only an overdue step may use the worker.
-	lastResort bool
+	// Only an overdue step may use a worker that is crowded, with serving tasks that
+	// can't bear the filler at full pace, or suspected.
+	crowded, suspected bool
 }
 
 // rank scores all workers that have room for a task of the step.
@@ -62,15 +63,21 @@
 func (r *ranking) rate(h *hosts.Host) (scoredWorker, bool) {
 	p, c := r.planner, scoredWorker{Host: h}
 	// The room is compared first: it is the cheapest test and fails most often.
-	if !r.step.Counted().Fits(h.Free()) || !p.usable(r.now, h, r.waitingStep.job.Queue.Service, r.step) ||
+	if !r.step.Counted().Fits(h.Free()) || !p.inService(r.now, h, r.waitingStep.job.Queue.Service, r.step) ||
 		p.atTaskLimit(r.waitingStep, r.step, h) || !p.hasTicket(r.now, r.waitingStep, h) {
 		return c, false
 	}
-	var fits bool
+	evidence, fits := p.trust(r.now, r.waitingStep, h)
+	if !fits {
+		return c, false
+	}
 	c.score, fits = p.score(h, waitingStepRef(r.waitingStep), r.step)
 	if !fits && r.waitingStep.overdue {
 		c.score, fits = p.crowdedScore(h, r.step)
-		c.score, c.lastResort = c.score-lastResortPenalty, true
+		c.score, c.crowded = c.score-lastResortPenalty, true
+	}
+	if evidence > 0 {
+		c.score, c.suspected = c.score-lastResortPenalty-evidence, true
 	}
 	if r.rack != "" && h.Rack() == r.rack {
 		c.score += rackWeight
@@ -79,16 +86,23 @@
 }
 
 // best returns the worker with the highest score for a task, without a Host if there
-// is none. Ties go to the lowest id.
+// is none. Ties go to the lowest id. A task doesn't go to a suspected worker on which it
+// has failed before, nor with its last attempt: the pause is over soon, a job that has
+// failed stays so.
 func (r *ranking) best(index int) scoredWorker {
-	failedBefore := r.waitingStep.occurrence.Steps[r.waitingStep.step].Tasks[index].Failures > 0
+	failures := r.waitingStep.occurrence.Steps[r.waitingStep.step].Tasks[index].Failures
+	failedBefore, mayRisk := failures > 0, r.waitingStep.mayRisk(failures)
 	var name sched.TaskID
 	if failedBefore {
 		name = sched.TaskID(r.waitingStep.taskRef(index).String())
 	}
 	var best scoredWorker
 	for _, h := range r.candidates {
-		if failedBefore && r.planner.judge.FailedOn(h.ID, name) {
+		failedHere := failedBefore && r.planner.judge.FailedOn(h.ID, name)
+		if h.suspected && (failedHere || !mayRisk) {
+			continue
+		}
+		if failedHere {
 			h.score -= failedOnPenalty
 		}
 		if best.Host == nil || h.score > best.score || h.score == best.score && h.ID < best.ID {
@@ -155,6 +169,36 @@
 	return p.inService(now, h, service, step) && !p.judge.Avoid(now, h.ID)
 }
 
+// trust reports whether tasks of a waiting step may be placed on the worker as far as
+// suspicion is concerned. An overdue step may use a suspected worker, and trust returns
+// the evidence against it, which is above 0.
+func (p *Planner) trust(now time.Time, w *waitingStep, h *hosts.Host) (float64, bool) {
+	if !p.judge.Avoid(now, h.ID) {
+		return 0, true
+	}
+	if !w.overdue {
+		return 0, false
+	}
+	evidence, may := p.judge.EarlyProbe(now, h.ID)
+	return max(evidence, minEvidence), may
+}
+
+// minEvidence stands for evidence that has expired while a worker is still suspected.
+const minEvidence = 0.1
+
+// mayRisk reports whether a task of the step that has failed the given number of times
+// may fail once more without failing its job.
+func (w *waitingStep) mayRisk(failures int) bool {
+	return w.job.Steps[w.step].Lasting || failures+1 < w.job.Queue.MaxAttempts
+}
+
+// usableFor reports whether tasks of a waiting step may be placed on the worker, apart
+// from room.
+func (p *Planner) usableFor(now time.Time, w *waitingStep, h *hosts.Host) bool {
+	_, trusted := p.trust(now, w, h)
+	return trusted && p.inService(now, h, w.job.Queue.Service, &w.job.Steps[w.step])
+}
+
 // inService reports whether the worker is listed, in contact, not draining, of the
 // service and with the label of the step, has no runs of unknown needs, and hasn't
 // just refused a start for lack of room.
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -171,16 +171,20 @@
 	r := p.rank(now, w)
 	before := len(w.tasks)
 	defer func() { p.logPlaced(now, w, before-len(w.tasks)) }()
-	for len(w.tasks) > 0 {
-		index := w.tasks[0]
+	for next := 0; next < len(w.tasks); {
+		index := w.tasks[next]
 		h := r.best(index)
-		if h.Host == nil {
+		switch {
+		case h.Host == nil && len(r.candidates) == 0:
 			return step.PerWorker > 0 || w.job.Queue.Advice != nil
+		case h.Host == nil:
+			next++ // other tasks may go where this one may not
+			continue
 		}
-		w.tasks = w.tasks[1:]
+		w.tasks = slices.Delete(w.tasks, next, next+1)
 		s := p.placeTask(now, w, index, h.Host, w.occurrence.Steps[w.step].Tasks[index].LastRun+1)
-		if h.lastResort {
-			p.useLastResort(now, w, s)
+		if h.crowded || h.suspected {
+			p.useLastResort(now, w, s, h)
 			if !step.Lasting {
 				return true
 			}
@@ -191,11 +195,15 @@
 }
 
 // useLastResort notes that a run was placed on a worker that suits it less.
-func (p *Planner) useLastResort(now time.Time, w *waitingStep, s *hosts.Slot) {
+func (p *Planner) useLastResort(now time.Time, w *waitingStep, s *hosts.Slot, h scoredWorker) {
 	w.lastResortAt = now
-	s.Crowded = s.Step.Filler
+	s.Crowded = h.crowded
+	if h.suspected {
+		p.judge.PlacedEarly(now, h.ID)
+	}
 	p.options.Log.Info("lastResort", zap.Stringer("task", s.Task), zap.Int32("run", int32(s.Run)),
-		zap.Bool("filler", s.Step.Filler), zap.Duration("waited", now.Sub(w.waitingSince)))
+		zap.String("worker", string(h.ID)), zap.Bool("crowded", h.crowded), zap.Bool("suspected", h.suspected),
+		zap.Duration("waited", now.Sub(w.waitingSince)))
 }
 
 // placeTask gives a task a run with number n on a worker, and returns its slot. The
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -30,6 +32,7 @@
 	for k := range tasks {
 		n = max(n, tasks[k].LastRun)
 	}
+	p.probeEarly(now, w, members)
 	saved := tasks[0].Checkpoint
 	for k := range tasks {
 		tasks[k].Checkpoint = saved
@@ -39,6 +42,18 @@
 	return true
 }
 
+// probeEarly notes for each suspected worker among the members that the gang is its probe.
+func (p *Planner) probeEarly(now time.Time, w *waitingStep, members []*hosts.Host) {
+	for _, h := range slices.Compact(slices.Clone(members)) {
+		if p.judge.Avoid(now, h.ID) {
+			w.lastResortAt = now
+			p.judge.PlacedEarly(now, h.ID)
+			p.options.Log.Info("lastResort", zap.String("job", string(w.job.ID)), zap.Int("step", w.step),
+				zap.String("worker", string(h.ID)), zap.Bool("suspected", true), zap.Duration("waited", now.Sub(w.waitingSince)))
+		}
+	}
+}
+
 // saveCheckpoint sets the checkpoint that the next run of a task resumes from.
 // A checkpoint of any member is good for the whole gang; it is kept with the
 // first member.
@@ -56,17 +71,25 @@
 
 // gangWorkers returns a worker for each member of a gang, nil if there is no room
 // for all of them. If the tasks are faster on one rack, the racks are tried one
-// by one first, that of the data before the others.
+// by one first, that of the data before the others. An overdue gang that hasn't failed
+// before may use suspected workers where it must.
 func (p *Planner) gangWorkers(now time.Time, w *waitingStep) []*hosts.Host {
 	step := &w.job.Steps[w.step]
+	failures := w.occurrence.Steps[w.step].Tasks[0].Failures
+	risky := map[*hosts.Host]float64{} // the evidence against the suspected workers
 	var usable []*hosts.Host
 	for _, h := range p.workers {
-		if p.usable(now, h, w.job.Queue.Service, step) && p.hasTicket(now, w, h) {
-			usable = append(usable, h)
+		evidence, trusted := p.trust(now, w, h)
+		if !trusted || evidence > 0 && (failures > 0 || !w.mayRisk(failures)) ||
+			!p.inService(now, h, w.job.Queue.Service, step) || !p.hasTicket(now, w, h) {
+			continue
+		}
+		if usable = append(usable, h); evidence > 0 {
+			risky[h] = evidence
 		}
 	}
 	slices.SortFunc(usable, func(a, b *hosts.Host) int {
-		return cmp.Or(cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(risky[a], risky[b]), cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
 	})
 	if step.SameRack || step.DataRack != "" {
 		racks := map[string][]*hosts.Host{}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -204,7 +204,7 @@
 // users takes about as long.
 var suspicionPauses = suspct.Timing{
 	InitialPause: 2 * time.Second, MaxPause: 10 * time.Second, ProbeWindow: 500 * time.Millisecond, ProbeTimeout: 3 * time.Second,
-	Retention: time.Minute,
+	Retention: time.Minute, EarlyProbe: time.Second,
 }
 
 // leaseClockMargin is added to the end of leases that another planner granted.
--- a/pkg/suspct/judge.go
+++ b/pkg/suspct/judge.go
@@ -25,6 +25,9 @@
 	// ProbeWindow, or until Placed is called. The next window opens after a success,
 	// or after ProbeTimeout if there is no result.
 	ProbeWindow, ProbeTimeout time.Duration
+	// EarlyProbe is the part of a pause after which a task that has no other worker
+	// may be the probe.
+	EarlyProbe time.Duration
 	// Retention is the time after which the end of an attempt no longer counts,
 	// and after which tasks and workers without a newer end are dropped.
 	Retention time.Duration
@@ -33,6 +36,7 @@
 // defaultPauses suits tasks that run for minutes.
 var defaultPauses = Timing{
 	InitialPause: time.Minute, MaxPause: time.Hour, ProbeWindow: 2 * time.Second, ProbeTimeout: time.Minute, Retention: time.Hour,
+	EarlyProbe: 30 * time.Second,
 }
 
 // Detector collects how attempts end and decides which workers are suspected. It
@@ -142,6 +146,34 @@
 	}
 }
 
+// EarlyProbe reports whether a suspected worker may get a task that has no other worker
+// before its pause is over, and returns the evidence against the worker. There is one
+// such task at a time.
+func (j *Detector) EarlyProbe(now time.Time, id sched.InstanceID) (float64, bool) {
+	w := j.workers[id]
+	if w == nil || !w.suspected || now.Before(w.pausedUntil.Add(j.pauses.EarlyProbe-w.pause)) {
+		return 0, false
+	}
+	inFlight := w.windowClosed && now.Sub(w.windowStart) < j.pauses.ProbeTimeout
+	return j.evidence(id, w, now), !inFlight
+}
+
+// PlacedEarly records that a task was placed on a suspected worker before its pause was
+// over. The task is the worker's probe, so its result ends or prolongs the pause.
+func (j *Detector) PlacedEarly(now time.Time, id sched.InstanceID) {
+	if w := j.workers[id]; w != nil && w.suspected {
+		w.pausedUntil = minTime(w.pausedUntil, now)
+		w.windowStart, w.windowClosed = now, true
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // CountsAgainstTask reports whether a task's failure on a worker counts against the task.
 // It doesn't count if the task has failed on this worker before, because
 // failures must come from different workers. It doesn't count either if the
--- a/pkg/suspct/judge_test.go
+++ b/pkg/suspct/judge_test.go
@@ -167,3 +167,33 @@
 	}
 	i.True(len(f.judge.tasks) <= int((defaultPauses.Retention+defaultPauses.Retention/sweepsPerRetention)/time.Second)+1)
 }
+
+// Guards against early probes that let a failing worker have task after task, and against
+// some whose results don't count.
+func TestAnEarlyProbeEndsOrProlongsThePause(t *testing.T) {
+	i := is.New(t)
+	j, now := New(), start
+	end := func(n int, result sched.AttemptState) {
+		j.AttemptEnded(now, id(0), sched.TaskID(fmt.Sprint("t", n)), "k", result)
+	}
+	may := func() bool { _, may := j.EarlyProbe(now, id(0)); return may }
+	for n := range 6 {
+		end(n, sched.AttemptFailed)
+	}
+	i.True(j.Avoid(now, id(0)))
+	i.True(!may()) // the pause has just begun
+	now = now.Add(defaultPauses.EarlyProbe)
+	i.True(may())
+	j.PlacedEarly(now, id(0))
+	i.True(!may() && j.Avoid(now, id(0))) // one at a time
+	end(6, sched.AttemptFailed)
+	now = now.Add(defaultPauses.EarlyProbe)
+	i.True(may())
+	now = now.Add(defaultPauses.InitialPause)
+	i.True(j.Avoid(now, id(0))) // the second pause is twice as long
+	j.PlacedEarly(now, id(0))
+	end(7, sched.AttemptDone)
+	i.True(!j.Avoid(now, id(0)))
+	end(8, sched.AttemptDone)
+	i.True(!j.Suspected(id(0)))
+}
