--- a/internal/emu/audit/audit.go
+++ b/internal/emu/audit/audit.go
@@ -64,6 +64,8 @@
 	Harm = "harm"
 	// Waiting: a task of an accepted job waits although there is room for it.
 	Waiting = "waiting"
+	// WaitingFiller: the same of a filler, after the traffic.
+	WaitingFiller = "waitingFiller"
 )
 
 // Audit collects findings. Exported fields are set before the first call. It is
--- a/internal/emu/load/caller.go
+++ b/internal/emu/load/caller.go
@@ -124,14 +124,17 @@
 	// maxCancelDelay is the longest time from acceptance to the cancel. Lasting jobs
 	// stay longer, so that their tasks may be lost and start again.
 	maxCancelDelay        = 8 * time.Second
-	maxLastingCancelDelay = 24 * time.Second
+	maxLastingCancelDelay = 16 * time.Second
 )
 
 // SubmitAndPoll submits a job and polls its state until the job or the context ends. It
-// cancels lasting jobs and some of the others.
+// cancels lasting jobs, which it submits until they are accepted, and some of the
+// others.
 func (x *Caller) SubmitAndPoll(c context.Context, j sched.Job) {
-	if !x.Submit(c, j) {
-		return
+	for !x.Submit(c, j) {
+		if !isLasting(j) || c.Err() != nil {
+			return
+		}
 	}
 	accepted := x.Clock.Now()
 	cancelAt := time.Time{}
