--- a/pkg/cell/double_run_test.go
+++ b/pkg/cell/double_run_test.go
@@ -52,25 +52,28 @@
 // modelWorker is what a worker does by the platform's protocol, as far as the
 // planner's orders of one incarnation are concerned.
 type modelWorker struct {
-	token sched.FencingToken
-	lease sched.WorkerClock
-	// lapsed holds the number of the newest end before the lease last ended. The
-	// platform doesn't hold the acknowledgement of such an end against a new run.
-	lapsed  int64
+	// life is the worker's incarnation.
+	life    int64
+	token   sched.FencingToken
 	running []cell.StartCall
 	ended   []sched.EndedRun
 	// last holds the highest run number that ended for each task.
 	last map[sched.TaskRef]sched.RunNumber
 	// late holds orders that were left unanswered and may still be carried out.
 	late []cell.StartCall
+	// leaseUntil is the end of the lease.
+	leaseUntil sched.WorkerClock
+	// lapsedEnd is the number of the newest end when the lease last lapsed. The ends
+	// up to it don't count as acknowledged.
+	lapsedEnd int64
 }
 
 // accept carries out a start order and reports whether the run is on the worker.
-func (w *modelWorker) accept(now sched.WorkerClock, s cell.StartCall) bool {
-	if s.Order.Token < w.token || s.Order.Run <= w.last[s.Order.Task] || s.Order.Lease < now {
+func (w *modelWorker) accept(s cell.StartCall) bool {
+	if s.Order.Token < w.token || s.Order.Run <= w.last[s.Order.Task] {
 		return false
 	}
-	w.token, w.lease = s.Order.Token, max(w.lease, s.Order.Lease)
+	w.token = s.Order.Token
 	for _, x := range w.running {
 		if keyOf(x) == keyOf(s) {
 			return true
@@ -80,17 +83,6 @@
 	return true
 }
 
-// expire ends the runs of a worker whose lease has ended.
-func (w *modelWorker) expire(now sched.WorkerClock) {
-	if now <= w.lease {
-		return
-	}
-	for len(w.running) > 0 {
-		w.end(0, sched.EndLeaseExpired)
-	}
-	w.lapsed = int64(len(w.ended))
-}
-
 // end ends run k in the given way.
 func (w *modelWorker) end(k int, how sched.RunEnd) {
 	s := w.running[k]
@@ -137,9 +129,10 @@
 // carryOut executes a start order and checks that it is the only run of its task,
 // unless the step allows copies.
 func (d *disorder) carryOut(s cell.StartCall) bool {
-	if !d.workers[s.Worker.ID].accept(d.clock(), s) {
+	if s.Order.Lease < d.clock() || !d.workers[s.Worker.ID].accept(s) {
 		return false
 	}
+	d.workers[s.Worker.ID].leaseUntil = max(d.workers[s.Worker.ID].leaseUntil, s.Order.Lease)
 	for id, w := range d.workers { // any order gives the same verdict
 		for _, x := range w.running {
 			if !d.copies && x.Order.Task == s.Order.Task && (id != s.Worker.ID || x.Order.Run != s.Order.Run) {
@@ -160,7 +153,7 @@
 	w := d.workers[s.Worker.ID]
 	switch rapid.SampledFrom([]string{"carried out", "answer lost", "late"}).Draw(d.draw, "fate") {
 	case "carried out":
-		a := sched.OrderAnswer{Clock: d.clock(), Incarnation: 1}
+		a := sched.OrderAnswer{Clock: d.clock(), Incarnation: w.life}
 		if !d.carryOut(s) {
 			a.Refusal = sched.RefusedToken
 			if s.Order.Token >= w.token {
@@ -212,7 +205,7 @@
 	r := cell.OrderResult{
 		Result: cell.Result{Worker: s.Worker.ID, Token: s.Order.Token, Sent: d.now, Received: d.now},
 		Key:    hosts.Key{Task: s.Order.Task, Run: s.Order.Run},
-		Answer: sched.OrderAnswer{Clock: d.clock(), Incarnation: 1},
+		Answer: sched.OrderAnswer{Clock: d.clock(), Incarnation: w.life},
 	}
 	if lost {
 		r.Err = errLost
@@ -237,16 +230,22 @@
 	}
 	slices.SortFunc(d.effects.Leases, func(a, b cell.LeaseCall) int { return cmp.Compare(a.Worker.ID, b.Worker.ID) })
 	l := d.effects.Leases[rapid.IntRange(0, len(d.effects.Leases)-1).Draw(d.draw, "exchange")]
+	d.answerLease(l, func() bool { return rapid.IntRange(0, 4).Draw(d.draw, "lost") == 0 })
+}
+
+// answerLease has the worker answer an exchange; the answer may be lost.
+func (d *disorder) answerLease(l cell.LeaseCall, lost func() bool) {
 	w := d.workers[l.Worker.ID]
 	a := sched.LeaseAnswer{}
+	a.Incarnation = w.life
 	switch {
 	case l.Order.Token < w.token:
 		a.Refusal = sched.RefusedToken
 	default:
-		w.token, w.lease = l.Order.Token, max(w.lease, l.Order.Lease)
+		w.token, w.leaseUntil = l.Order.Token, max(w.leaseUntil, l.Order.Lease)
 		for _, e := range w.ended {
 			if e.Number <= l.Order.RecordedEnd {
-				d.done[e.Task] = d.done[e.Task] || e.End == sched.EndDone && e.Number > w.lapsed
+				d.done[e.Task] = d.done[e.Task] || e.End == sched.EndDone && e.Number > w.lapsedEnd
 				continue
 			}
 			a.Ended = append(a.Ended, e)
@@ -256,7 +255,7 @@
 		}
 	}
 	var err error
-	if rapid.IntRange(0, 4).Draw(d.draw, "lost") == 0 {
+	if lost() {
 		err = errLost
 	}
 	d.exchange(l.Worker.ID, a, err)
@@ -277,7 +276,7 @@
 	d.append()
 	d.collect()
 	for _, s := range d.starts {
-		a := sched.OrderAnswer{Clock: d.clock(), Incarnation: 1}
+		a := sched.OrderAnswer{Clock: d.clock(), Incarnation: d.workers[s.Worker.ID].life}
 		if !d.carryOut(s) {
 			a.Refusal = sched.RefusedToken
 		}
@@ -295,8 +294,20 @@
 
 func (d *disorder) wait() {
 	d.pass(time.Duration(rapid.SampledFrom([]int{5, 30, 300, 900}).Draw(d.draw, "ms")) * time.Millisecond)
-	for _, w := range d.workers {
-		w.expire(d.clock())
+	d.lapse()
+}
+
+// lapse ends the runs on the workers whose lease has ended.
+func (d *disorder) lapse() {
+	for n := range len(d.workers) {
+		w := d.workers[worker(n+1).ID]
+		if d.clock() <= w.leaseUntil {
+			continue
+		}
+		for len(w.running) > 0 {
+			w.end(0, sched.EndLeaseExpired)
+		}
+		w.lapsedEnd = int64(len(w.ended))
 	}
 }
 
@@ -355,7 +366,7 @@
 		copies: rapid.Bool().Draw(draw, "copies"), term: 1,
 	}
 	for n := range 3 {
-		d.workers[worker(n+1).ID] = &modelWorker{last: map[sched.TaskRef]sched.RunNumber{}}
+		d.workers[worker(n+1).ID] = &modelWorker{life: 1, last: map[sched.TaskRef]sched.RunNumber{}}
 		d.planner.Listed(d.now, worker(n+1))
 	}
 	events := []func(){
--- a/pkg/cell/rig_test.go
+++ b/pkg/cell/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -24,8 +25,9 @@
 	// flight is set while a batch is written and not yet durable.
 	flight  bool
 	replies map[cell.Ticket]sched.Verdict
-	// records holds the newest value of each key.
-	records map[string][]byte
+	// records holds the newest value of each key, and before the same without the
+	// batch in flight.
+	records, before map[string][]byte
 	// ticket is the newest one that was given out.
 	ticket cell.Ticket
 }
@@ -62,6 +64,7 @@
 			r.t.Fatal("batch written while another one is in flight")
 		}
 		r.flight = true
+		r.before = maps.Clone(r.records)
 		for _, x := range e.Append {
 			if len(x.Value) == 0 {
 				delete(r.records, x.Key)
