Give up a task that crashes the workers that start it

What callers saw: one job took down a worker every few seconds until it was cancelled, and the runs of all other jobs on that worker with it.

Cause: a run that ended with its worker was only lost, never counted, so its task waited again and was started on the next worker. The class of fault: an effect of a task that is seen on the worker only, and held against nothing.

Change: - pkg/crash judges, without state, which of the runs on a crashed worker may have crashed it: those that had just started, else those that aren't known to be sound. One crash never gives a task up, since it shares the suspicion with what started beside it; a second one does if it was the only one to have just started, the fourth whatever ran beside it. - A crash is known only with proof that the worker has restarted or was replaced. One that was silent, or about to leave, says nothing about its tasks. Several workers that end within a second have a cause outside, unless a run had just started. - Suspects start one by one where a crash does the least harm, and nothing is placed beside them for a while, so that the next crash tells which one it was.

Before this was joined with the repeated log line for waiting steps, a suspect that found no worker made the planner loop for ever in that line: the start of the wait was noted in two places, one without the time of the next line. beginWaiting notes both.

The tests of pkg/crash and pkg/cell pass.

--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -33,7 +33,7 @@
 	if l == nil {
 		return 0, sched.Verdict{}, lead.ErrNotPlanner
 	}
-	s, err := l.State(c, id)
+	s, failure, err := l.State(c, id)
 	if err != nil {
 		return 0, sched.Verdict{}, err
 	}
@@ -42,7 +42,9 @@
 			zap.Duration("proofAge", l.ProofAge()))
 		return 0, sched.Verdict{Code: sched.CodeUnknownTask, Reason: "no such job"}, nil
 	}
-	return s, acceptedVerdict, nil
+	v := acceptedVerdict
+	v.Reason = failure.String()
+	return s, v, nil
 }
 
 // Cancel implements relay.Local.
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -137,16 +137,20 @@
 	}
 }
 
-// State returns the durable state of a job, 0 if there is no such job. The error
-// is ErrNotPlanner if another planner may have a newer state.
-func (l *Leader) State(c context.Context, id sched.JobID) (sched.JobState, error) {
+// State returns the durable state of a job, 0 if there is no such job, and why it has
+// failed. The error is ErrNotPlanner if another planner may have a newer state.
+func (l *Leader) State(c context.Context, id sched.JobID) (sched.JobState, sched.JobFailure, error) {
 	var s sched.JobState
+	var f sched.JobFailure
 	var sure bool
-	err := l.ask(c, func() { s, sure = l.planner.State(l.Clock.Now(), id) })
+	err := l.ask(c, func() {
+		s, sure = l.planner.State(l.Clock.Now(), id)
+		f = l.planner.Failure(id)
+	})
 	if err == nil && !sure {
-		return 0, ErrNotPlanner
+		return 0, f, ErrNotPlanner
 	}
-	return s, err
+	return s, f, err
 }
 
 // Pending returns the number of accepted jobs of each queue that haven't started.
--- a/internal/process/lead/failure_test.go
+++ b/internal/process/lead/failure_test.go
@@ -46,10 +46,10 @@
 		default:
 			t.Fatal("the term goes on")
 		}
-		_, err := l.State(c, "0000000000000001")
+		_, _, err := l.State(c, "0000000000000001")
 		i.Equal(err, lead.ErrNotPlanner) // the state of a broken planner isn't shown
 		next, _ := begin("entry-1")
-		_, err = next.State(c, "0000000000000001")
+		_, _, err = next.State(c, "0000000000000001")
 		i.NoErr(err)
 		stop()
 		time.Sleep(time.Second)
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -82,6 +82,8 @@
 		{"moves", before.Moves, after.Moves},
 		{"copies", before.Copies, after.Copies},
 		{"heldUp", before.HeldUp, after.HeldUp},
+		{"crashes", before.Crashes, after.Crashes},
+		{"givenUp", before.GivenUp, after.GivenUp},
 	}
 	for _, r := range rows {
 		m.set.GetOrCreateCounter(fmt.Sprintf("%s{what=%q}", plannerTotal, r.what)).Add(int(r.after - r.before))
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -14,7 +14,7 @@
 		{readsTotal, "counter", "Reads of the store, by result."},
 		{ordersTotal, "counter", "Orders to workers by order (start, stop, pace, lease) and result: ok, refused, unavailable, uncertain."},
 		{orderSeconds, "histogram", "Time of an order, by order. A lease may wait at the worker."},
-		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room)."},
+		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers)."},
 		{termsTotal, "counter", "Terms that planners here began."},
 		{cellsPlanned, "gauge", "Cells that are planned here."},
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -200,7 +200,7 @@
 		p.loseRun(now, h, slot, "notSent")
 		return
 	}
-	slot.Phase, slot.Token = hosts.Ordered, h.Token(p.options.Term)
+	slot.Phase, slot.Token, slot.OrderedAt = hosts.Ordered, h.Token(p.options.Term), now
 	t := j.Task(s.key.Task)
 	p.stats.Starts++
 	p.effects.Starts = append(p.effects.Starts, StartCall{Worker: h.Worker, Order: sched.StartOrder{
--- a/pkg/cell/call.go
+++ b/pkg/cell/call.go
@@ -187,6 +187,14 @@
 	return j.durableState, true
 }
 
+// Failure returns why a job is shown as failed, FailureUnknown if it isn't.
+func (p *Planner) Failure(id sched.JobID) sched.JobFailure {
+	if j := p.jobs[id]; j != nil && j.durableState == sched.JobFailed {
+		return j.Failure
+	}
+	return sched.FailureUnknown
+}
+
 // maxPendingProofAge is the age up to which a proof is good enough for the
 // number of pending jobs, which the platform allows to be 2 s old.
 const maxPendingProofAge = 1500 * time.Millisecond
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -47,6 +47,11 @@
 	crowded, suspected bool
 }
 
+// better reports whether a worker comes before another one. Ties go to the lowest id.
+func (s scoredWorker) better(o scoredWorker) bool {
+	return s.score > o.score || s.score == o.score && s.ID < o.ID
+}
+
 // rank scores all workers that have room for a task of the step.
 func (p *Planner) rank(now time.Time, w *waitingStep) *ranking {
 	r := &ranking{planner: p, now: now, waitingStep: w, step: &w.job.Steps[w.step]}
@@ -105,7 +110,7 @@
 		if failedHere {
 			h.score -= failedOnPenalty
 		}
-		if best.Host == nil || h.score > best.score || h.score == best.score && h.ID < best.ID {
+		if best.Host == nil || h.better(best) {
 			best = h
 		}
 	}
@@ -200,11 +205,12 @@
 }
 
 // inService reports whether the worker is listed, in contact, not draining, of the
-// service and with the label of the step, has no runs of unknown needs, and hasn't
-// just refused a start for lack of room.
+// service and with the label of the step, has no runs of unknown needs, holds
+// no suspect of a crash that has to be alone, and hasn't just refused a start for lack
+// of room.
 func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
 	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
-		(step.Label == "" || slices.Contains(h.Labels, step.Label))
+		(step.Label == "" || slices.Contains(h.Labels, step.Label)) && !isolated(now, h)
 }
 
 // atTaskLimit reports whether the worker has as many tasks of the step as
--- /dev/null
+++ b/pkg/cell/crash.go
@@ -0,0 +1,297 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/crash"
+	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+const (
+	// simultaneousSpan is the longest time between the ends of workers that have
+	// one cause outside, such as the loss of a rack.
+	simultaneousSpan = time.Second
+	// minSimultaneous is the number of other workers that must end within
+	// simultaneousSpan for that. Two tasks may crash their workers at one time by
+	// chance.
+	minSimultaneous = 2
+	// silenceRetention is how long the end of a worker is remembered. A crash is
+	// known for sure once the worker is back, some seconds later.
+	silenceRetention = 30 * time.Second
+	// isolationTime is how long nothing is placed beside a suspect. It is longer than
+	// crash.StartWindow, so that a task which crashes its worker somewhat later is
+	// still the only one in doubt.
+	isolationTime = time.Second
+	// maxSeparationWait is how long a suspect waits for a worker where nothing has
+	// started just before. Longer waits would be seen by its caller.
+	maxSeparationWait = 1500 * time.Millisecond
+)
+
+// silence is the time at which a worker stopped answering.
+type silence struct {
+	worker sched.InstanceID
+	at     time.Time
+}
+
+// noteSilence notes that a worker didn't answer a call, unless it was silent before.
+// A call that timed out tells only that the worker was silent at some time since it
+// was sent, and that of a worker which this planner hasn't reached yet tells nothing.
+func (p *Planner) noteSilence(h *hosts.Host, r Result) {
+	if r.Err == nil || !h.SilentSince.IsZero() || !h.RunsKnown {
+		return
+	}
+	h.SilentSince = r.Received
+	if errors.Is(r.Err, context.DeadlineExceeded) {
+		h.SilentSince = r.Sent
+	}
+	for len(p.silences) > 0 && r.Received.Sub(p.silences[0].at) > silenceRetention {
+		p.silences = p.silences[1:]
+	}
+	p.silences = append(p.silences, silence{h.ID, h.SilentSince})
+}
+
+// simultaneous reports whether several other workers stopped answering at about the
+// given time.
+func (p *Planner) simultaneous(id sched.InstanceID, at time.Time) bool {
+	others := map[sched.InstanceID]bool{}
+	for _, s := range p.silences {
+		if s.worker != id && s.at.Sub(at).Abs() <= simultaneousSpan {
+			others[s.worker] = true
+		}
+	}
+	return len(others) >= minSimultaneous
+}
+
+// crashUnit returns the task whose Crashes counts the crashes under a task: the
+// first member of a gang, else the task itself.
+func crashUnit(j *job, r sched.TaskRef) sched.TaskRef {
+	if j.Steps[r.Step].Gang {
+		r.Index = 0
+	}
+	return r
+}
+
+// crashedRun is a run that was on a worker when it crashed, with its job.
+type crashedRun struct {
+	job  *job
+	task sched.TaskRef
+	crash.Run
+}
+
+// workerCrashed counts the end of a worker against the tasks that may have crashed
+// it. The slots are the runs that ended with it. It is called only with proof that
+// the worker has restarted or was replaced: a silent worker may still be alive. A
+// worker that was about to leave hasn't crashed.
+func (p *Planner) workerCrashed(now time.Time, h *hosts.Host, slots []*hosts.Slot) {
+	if h.Draining || len(slots) == 0 {
+		return
+	}
+	at := h.SilentSince
+	if at.IsZero() {
+		at = now
+	}
+	runs := p.crashedRuns(at, slots)
+	facts := make([]crash.Run, len(runs))
+	for k, r := range runs {
+		facts[k] = r.Run
+	}
+	simultaneous := p.simultaneous(h.ID, at)
+	p.options.Log.Info("workerCrashed", zap.String("worker", string(h.ID)), zap.Int("runs", len(runs)),
+		zap.Bool("simultaneous", simultaneous), zap.Duration("ago", now.Sub(at)))
+	p.stats.Crashes++
+	for k, v := range crash.Judge(facts, simultaneous) {
+		if v.Suspect {
+			p.suspectTask(now, h, runs[k], v)
+		}
+	}
+}
+
+// crashedRuns returns the started runs among the slots, the members of a gang as one,
+// with their ages at the given time.
+func (p *Planner) crashedRuns(at time.Time, slots []*hosts.Slot) []crashedRun {
+	var out []crashedRun
+	seen := map[sched.TaskRef]bool{}
+	for _, s := range slots {
+		j := p.jobs[s.Task.Job]
+		if j == nil || s.Phase == hosts.Recorded || j.State.Final() {
+			continue
+		}
+		r := crashedRun{job: j, task: crashUnit(j, s.Task)}
+		t := j.Task(r.task)
+		if t == nil || t.Done || seen[r.task] {
+			continue
+		}
+		seen[r.task] = true
+		r.Suspect, r.Crashes, r.Started = t.Suspect, t.Crashes, !s.StartedAt.IsZero()
+		switch {
+		case !s.OrderedAt.IsZero():
+			r.Age, r.AgeKnown = max(0, at.Sub(s.OrderedAt)), true
+		case !s.StartedAt.IsZero():
+			r.Age = max(0, at.Sub(s.StartedAt))
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// suspectTask counts a crash for a task that may have caused it, and ends its job
+// as failed if the task is to be given up.
+func (p *Planner) suspectTask(now time.Time, h *hosts.Host, r crashedRun, v crash.Verdict) {
+	t := r.job.Task(r.task)
+	t.Suspect = true
+	if v.Counts {
+		t.Crashes++
+	}
+	p.markDirty(r.job)
+	p.options.Log.Info("crashSuspect", zap.Stringer("task", r.task), zap.String("worker", string(h.ID)),
+		zap.Int("crashes", t.Crashes), zap.Bool("started", r.Started), zap.Duration("age", r.Age),
+		zap.Bool("ageKnown", r.AgeKnown))
+	if !v.GiveUp || r.job.State.Final() {
+		return
+	}
+	p.stats.GivenUp++
+	p.options.Log.Info("jobFailed", zap.String("job", string(r.job.ID)), zap.Stringer("task", r.task),
+		zap.Int("crashes", t.Crashes))
+	r.job.Failure = sched.FailureCrashes
+	p.endJob(now, r.job, sched.JobFailed)
+}
+
+// unproven reports whether a run hasn't been at work for long enough to show that
+// it doesn't crash its worker.
+func unproven(now time.Time, s *hosts.Slot, window time.Duration) bool {
+	return s.Phase != hosts.Started || now.Sub(s.StartedAt) < window
+}
+
+// isolated reports whether nothing may be placed on a worker because a suspect there
+// hasn't shown yet that it doesn't crash it. A suspect of two crashes takes longer to
+// show that.
+func isolated(now time.Time, h *hosts.Host) bool {
+	if !h.HasSuspects() {
+		return false
+	}
+	for _, s := range h.Slots {
+		window := isolationTime
+		if s.Crashes > 1 {
+			window = crash.SoundAge
+		}
+		if s.Suspect && unproven(now, s, window) {
+			return true
+		}
+	}
+	return false
+}
+
+// quiet reports whether no run on the worker has just started, so that a crash would
+// be the doing of the next one.
+func quiet(now time.Time, h *hosts.Host) bool {
+	for _, s := range h.Slots {
+		if unproven(now, s, crash.StartWindow) {
+			return false
+		}
+	}
+	return true
+}
+
+// exposure weighs what would be lost on a worker if it crashed.
+func exposure(h *hosts.Host) int {
+	const filler, batch, lasting = 1, 2, 8
+	sum := 0
+	for _, s := range h.Slots {
+		switch {
+		case s.Step.Lasting:
+			sum += lasting
+		case s.Step.Filler:
+			sum += filler
+		default:
+			sum += batch
+		}
+	}
+	return sum
+}
+
+// placeSuspects places the tasks of a step that are suspects of a crash, each on the
+// worker with room where a crash would do the least harm, and returns those left
+// waiting. While the step as a whole is suspected, its tasks are placed one after
+// the other.
+func (p *Planner) placeSuspects(now time.Time, w *waitingStep) []int {
+	tasks := w.occurrence.Steps[w.step].Tasks
+	suspected, busy := p.stepSuspected(now, w)
+	if suspected && busy {
+		left := w.tasks
+		w.tasks = nil
+		return left
+	}
+	var left, free []int
+	placed := false
+	for _, k := range w.tasks {
+		switch {
+		case !tasks[k].Suspect && !suspected:
+			free = append(free, k)
+		case suspected && (placed || !tasks[k].Suspect):
+			left = append(left, k)
+		default:
+			h := p.isolationWorker(now, w)
+			if h == nil {
+				left = append(left, k)
+				continue
+			}
+			placed = true
+			p.placeTask(now, w, k, h, tasks[k].LastRun+1)
+		}
+	}
+	w.tasks = free
+	return left
+}
+
+// stepSuspected reports whether all tasks of a step may crash their workers: one is a
+// suspect, and none has shown yet that it doesn't. It also reports whether a run of
+// the step is about to show it.
+func (p *Planner) stepSuspected(now time.Time, w *waitingStep) (suspected, busy bool) {
+	tasks := w.occurrence.Steps[w.step].Tasks
+	if w.occurrence.Steps[w.step].Done > 0 {
+		return false, false
+	}
+	for k := range tasks {
+		suspected = suspected || tasks[k].Suspect
+		for _, r := range tasks[k].Runs {
+			h := p.workers[r.Worker]
+			if h == nil {
+				continue
+			}
+			s := h.Slots[hosts.Key{Task: w.taskRef(k), Run: r.Number}]
+			switch {
+			case s == nil || h.Failures > 0 && !s.Suspect:
+			case h.Failures > 0 || unproven(now, s, crash.StartWindow):
+				busy = true
+			default:
+				return false, false
+			}
+		}
+	}
+	return suspected, busy
+}
+
+// isolationWorker returns the worker with room for a suspect of the step where a
+// crash would do the least harm, nil if there is none. For a while only workers count
+// on which nothing has just started.
+func (p *Planner) isolationWorker(now time.Time, w *waitingStep) *hosts.Host {
+	w.beginWaiting(now)
+	patient := now.Sub(w.waitingSince) < maxSeparationWait
+	var best scoredWorker
+	least := 0
+	for _, c := range p.rank(now, w).candidates {
+		if c.crowded || c.suspected || patient && !quiet(now, c.Host) {
+			continue
+		}
+		e := exposure(c.Host)
+		if best.Host == nil || e < least || e == least && c.better(best) {
+			best, least = c, e
+		}
+	}
+	return best.Host
+}
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -168,9 +168,16 @@
 	if step.Gang {
 		return p.placeGang(now, w)
 	}
-	r := p.rank(now, w)
 	before := len(w.tasks)
-	defer func() { p.logPlaced(now, w, before-len(w.tasks)) }()
+	held := p.placeSuspects(now, w)
+	defer func() {
+		w.tasks = append(w.tasks, held...)
+		p.logPlaced(now, w, before-len(w.tasks))
+	}()
+	if len(w.tasks) == 0 {
+		return true
+	}
+	r := p.rank(now, w)
 	for next := 0; next < len(w.tasks); {
 		index := w.tasks[next]
 		h := r.best(index)
@@ -210,10 +217,10 @@
 // start order is sent once the placement is durable.
 func (p *Planner) placeTask(now time.Time, w *waitingStep, index int, h *hosts.Host, n sched.RunNumber) *hosts.Slot {
 	j := w.job
-	w.occurrence.Steps[w.step].Tasks[index].AddRun(n, h.ID)
+	w.occurrence.Steps[w.step].Tasks[index].AddRun(n, h.ID, h.NewestIncarnation())
 	key := hosts.Key{Task: w.taskRef(index), Run: n}
 	slot := j.newSlot(key)
-	slot.PlacedAt = now
+	slot.PlacedAt, slot.Incarnation = now, h.NewestIncarnation()
 	h.Add(slot)
 	p.judge.Placed(now, h.ID)
 	p.options.Log.Debug("runPlaced", zap.Stringer("task", key.Task), zap.Int32("run", int32(n)),
--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -144,7 +144,7 @@
 		return
 	}
 	switch {
-	case s.Step.Copies && len(t.Runs) == 1 && (late.stalled || late.slow):
+	case s.Step.Copies && !s.Suspect && len(t.Runs) == 1 && (late.stalled || late.slow):
 		p.startCopy(now, h, s, j)
 	case len(t.Runs) > 1:
 	case late.stalled || late.verySlow:
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -107,6 +107,8 @@
 	service map[string]sched.ServiceRules
 	// learnedRecordedAt is when the LearnedKey record was last added to a batch.
 	learnedRecordedAt time.Time
+	// silences holds when workers stopped answering, newest last.
+	silences []silence
 	// placedAt is when placeWaiting last passed over the waiting steps.
 	placedAt time.Time
 }
@@ -114,11 +116,13 @@
 // Stats counts what a planner did in its term. Stops includes repeated orders, but
 // not those for runs that the planner doesn't know. NoRoom counts starts that a
 // worker refused for lack of room, Moves the paused fillers that were stopped to run
-// elsewhere, Copies the speculative copies, and HeldUp the tasks that waited for
-// heldUpDelay though a worker had room.
+// elsewhere, Copies the speculative copies, HeldUp the tasks that waited for
+// heldUpDelay though a worker had room, Crashes the crashes of workers under runs, and
+// GivenUp the jobs that failed because a task crashed its workers.
 type Stats struct {
 	Accepted, Refused, Starts, Ends, Failed, Lost, Stops int64
 	NoRoom, Paces, Moves, Copies, HeldUp                 int64
+	Crashes, GivenUp                                     int64
 }
 
 // job is the durable state of a job with the part that the planner keeps in
@@ -246,7 +250,7 @@
 			h := p.worker(r.Worker)
 			key := hosts.Key{Task: sched.TaskRef{Job: j.ID, Occurrence: o.Number, Step: s, Index: k}, Run: r.Number}
 			slot := j.newSlot(key)
-			slot.Phase, slot.Pace = hosts.Unsure, unknownPace
+			slot.Phase, slot.Pace, slot.Incarnation = hosts.Unsure, unknownPace, r.Incarnation
 			h.Add(slot)
 		}
 		if o.Steps[s].Open && !t.Done && len(t.Runs) == 0 && !j.State.Final() {
@@ -260,6 +264,9 @@
 func (j *job) newSlot(k hosts.Key) *hosts.Slot {
 	s := &j.Steps[k.Task.Step]
 	slot := &hosts.Slot{Key: k, Step: s, Pace: fullPace}
+	if t := j.Task(crashUnit(j, k.Task)); t != nil {
+		slot.Suspect, slot.Crashes = t.Suspect, t.Crashes
+	}
 	if s.TailGoal > 0 {
 		if j.stepLoads[k.Task.Step] == nil {
 			j.stepLoads[k.Task.Step] = share.NewLoad()
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -123,6 +123,7 @@
 	}
 	p.options.Log.Info("jobFailed", zap.String("job", string(j.ID)), zap.Stringer("task", s.Task),
 		zap.Int("failures", failures))
+	j.Failure = sched.FailureAttempts
 	p.endJob(now, j, sched.JobFailed)
 	return true
 }
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -57,12 +57,17 @@
 	return o
 }
 
-// logWaiting logs why tasks of a step wait, after waitingLogDelay and now and then
-// after that, and counts those that have waited for heldUpDelay with room on a worker.
-func (p *Planner) logWaiting(now time.Time, w *waitingStep) {
+// beginWaiting notes that tasks of the step wait, unless they did before.
+func (w *waitingStep) beginWaiting(now time.Time) {
 	if w.waitingSince.IsZero() {
 		w.waitingSince, w.nextLog = now, waitingLogDelay
 	}
+}
+
+// logWaiting logs why tasks of a step wait, after waitingLogDelay and now and then
+// after that, and counts those that have waited for heldUpDelay with room on a worker.
+func (p *Planner) logWaiting(now time.Time, w *waitingStep) {
+	w.beginWaiting(now)
 	waited := now.Sub(w.waitingSince)
 	if waited < w.nextLog {
 		return
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -111,6 +113,7 @@
 	h.ExchangeInFlight = false
 	switch {
 	case r.Err != nil || r.Answer.Refusal == sched.RefusedUnhealthy:
+		p.noteSilence(h, r.Result)
 		p.exchangeFailed(now, h, r.Err)
 		return
 	case r.Answer.Refusal == sched.RefusedIdentity:
@@ -136,6 +139,9 @@
 	h.AckedEnd = max(h.AckedEnd, r.AckedEnd)
 	p.applyEnds(now, h, r.Answer.Ended)
 	p.reconcileRuns(now, h, r)
+	if h.RunsKnown { // until then the runs of an earlier life aren't settled
+		h.SilentSince = time.Time{}
+	}
 	p.updatePaces(now, h)
 	h.NextExchangeAt = now.Add(exchangePause)
 	if len(h.Slots) == 0 && h.Strays == 0 && h.AppliedEnd == h.DurableEnd && h.AckedEnd == h.DurableEnd && h.RunsKnown {
@@ -158,6 +164,7 @@
 // earlier worker has ended, so all its runs are lost.
 func (p *Planner) workerReplaced(now time.Time, h *hosts.Host) {
 	p.options.Log.Info("workerReplaced", zap.String("worker", string(h.ID)), zap.Int("runs", len(h.Slots)))
+	p.workerCrashed(now, h, slices.Collect(maps.Values(h.Slots)))
 	for _, s := range h.Slots {
 		p.loseRun(now, h, s, "replaced")
 	}
@@ -185,16 +192,26 @@
 			p.stopStray(h, k)
 			continue
 		}
+		s.Incarnation = h.NewestIncarnation()
 		p.applyReport(now, s, x)
 	}
 	if len(r.Answer.Ended) >= fullEndList {
 		return
 	}
 	h.RunsKnown = h.RunsKnown || r.Token == h.Token(p.options.Term)
+	var gone, crashed []*hosts.Slot
 	for k, s := range h.Slots {
-		if !listed[k] && s.ProvenGone(r.Token, r.Answer.Clock) {
-			p.loseRun(now, h, s, "notThere")
+		if listed[k] || !s.ProvenGone(r.Token, r.Answer.Clock) {
+			continue
 		}
+		gone = append(gone, s)
+		if h.Restarted(s) {
+			crashed = append(crashed, s)
+		}
+	}
+	p.workerCrashed(now, h, crashed)
+	for _, s := range gone {
+		p.loseRun(now, h, s, "notThere")
 	}
 }
 
@@ -246,6 +263,7 @@
 		return
 	}
 	if r.Err != nil {
+		p.noteSilence(h, r.Result)
 		p.startUnsure(now, h, s, r.Err)
 		return
 	}
--- a/pkg/codec/cell.go
+++ b/pkg/codec/cell.go
@@ -172,17 +172,23 @@
 func EncodeProgress(j *jobs.Job) []byte {
 	m := &pb.CellProgress{
 		State: uint32(j.State), Next: uint32(j.Next), Over: uint32(j.CompletedOccurrences), Queue: string(j.Queue.Name),
+		Failure: uint32(j.Failure),
 	}
 	if j.State.Final() {
 		m.EndedAt = j.Ended.UnixMilli()
 	}
-	workers := map[sched.InstanceID]uint32{}
-	workerIndex := func(w sched.InstanceID) uint32 {
+	type life struct {
+		worker      sched.InstanceID
+		incarnation int64
+	}
+	workers := map[life]uint32{}
+	workerIndex := func(r jobs.Run) uint32 {
+		w := life{r.Worker, r.Incarnation}
 		k, known := workers[w]
 		if !known {
 			k = uint32(len(m.Workers))
 			workers[w] = k
-			m.Workers = append(m.Workers, string(w))
+			m.Workers, m.Incarnations = append(m.Workers, string(w.worker)), append(m.Incarnations, w.incarnation)
 		}
 		return k
 	}
@@ -199,7 +205,7 @@
 // stepProgress converts the tasks of one step. Done tasks are a bit set; the other
 // fields are included only for tasks that were started and are not done, or that
 // still have runs.
-func stepProgress(tasks []jobs.Task, workerIndex func(sched.InstanceID) uint32) *pb.CellStepProgress {
+func stepProgress(tasks []jobs.Task, workerIndex func(jobs.Run) uint32) *pb.CellStepProgress {
 	const bits = 8
 	m := &pb.CellStepProgress{}
 	for k := range tasks {
@@ -214,8 +220,9 @@
 			continue
 		}
 		x := &pb.CellTask{Index: uint32(k), Last: uint32(t.LastRun), Failures: uint32(t.Failures), Saved: string(t.Checkpoint)}
+		x.Suspect, x.Crashes = t.Suspect, uint32(t.Crashes)
 		for _, r := range t.Runs {
-			x.Runs = append(x.Runs, &pb.CellRun{Number: uint32(r.Number), Worker: workerIndex(r.Worker)})
+			x.Runs = append(x.Runs, &pb.CellRun{Number: uint32(r.Number), Worker: workerIndex(r)})
 		}
 		m.Tasks = append(m.Tasks, x)
 	}
@@ -230,6 +237,7 @@
 		return fmt.Errorf("decode progress of job %s: %w", j.ID, err)
 	}
 	j.State, j.Next, j.CompletedOccurrences = sched.JobState(m.GetState()), int(m.GetNext()), int(m.GetOver())
+	j.Failure = sched.JobFailure(m.GetFailure())
 	if j.Queue.Name == "" {
 		j.Queue.Name = sched.QueueName(m.GetQueue())
 	}
@@ -242,7 +250,7 @@
 		}
 		o := j.RestoreOccurrence(int(x.GetNumber()))
 		for s, p := range x.GetSteps() {
-			if err := restoreStep(o.Steps[s].Tasks, p, m.GetWorkers()); err != nil {
+			if err := restoreStep(o.Steps[s].Tasks, p, m); err != nil {
 				return fmt.Errorf("decode progress of job %s: %w", j.ID, err)
 			}
 		}
@@ -252,7 +260,7 @@
 }
 
 // restoreStep is the inverse of stepProgress.
-func restoreStep(tasks []jobs.Task, p *pb.CellStepProgress, workers []string) error {
+func restoreStep(tasks []jobs.Task, p *pb.CellStepProgress, m *pb.CellProgress) error {
 	const bits = 8
 	for k := range tasks {
 		tasks[k].Done = k/bits < len(p.GetDone()) && p.GetDone()[k/bits]&(1<<(k%bits)) != 0
@@ -264,13 +272,17 @@
 		t := &tasks[x.GetIndex()]
 		t.LastRun, t.Failures = sched.RunNumber(x.GetLast()), int(x.GetFailures())
 		t.Checkpoint = sched.CheckpointID(x.GetSaved())
+		t.Suspect, t.Crashes = x.GetSuspect(), int(x.GetCrashes())
 		for _, r := range x.GetRuns() {
-			if int(r.GetWorker()) >= len(workers) {
-				return fmt.Errorf("worker index is %d, the record lists %d workers", r.GetWorker(), len(workers))
+			k := int(r.GetWorker())
+			if k >= len(m.GetWorkers()) {
+				return fmt.Errorf("worker index is %d, the record lists %d workers", k, len(m.GetWorkers()))
+			}
+			run := jobs.Run{Number: sched.RunNumber(r.GetNumber()), Worker: sched.InstanceID(m.GetWorkers()[k])}
+			if k < len(m.GetIncarnations()) {
+				run.Incarnation = m.GetIncarnations()[k]
 			}
-			t.Runs = append(t.Runs, jobs.Run{
-				Number: sched.RunNumber(r.GetNumber()), Worker: sched.InstanceID(workers[r.GetWorker()]),
-			})
+			t.Runs = append(t.Runs, run)
 		}
 	}
 	return nil
--- /dev/null
+++ b/pkg/crash/crash.go
@@ -0,0 +1,98 @@
+package crash
+
+import "time"
+
+const (
+	// StartWindow is the time after its start in which a task that crashes workers
+	// is expected to do so. It also covers the delay until the crash is noticed.
+	StartWindow = 400 * time.Millisecond
+	// SoundAge is the age of a run from which on its task is taken to be sound: a
+	// task that crashes its worker later than that costs little per start.
+	SoundAge = 10 * time.Second
+	// maxCrashes is the number of crashes after which a task is given up whatever
+	// ran beside it.
+	maxCrashes = 4
+)
+
+// Run is a run that was on a worker when it crashed. The members of a gang on one
+// worker count as one run.
+type Run struct {
+	// Age is the time from the start of the run to the crash, or the least that
+	// it can have been if AgeKnown isn't set.
+	Age      time.Duration
+	AgeKnown bool
+	// Started is set if the run is known to have started. The answer to its start
+	// order may have been lost, or the order may have come too late.
+	Started bool
+	// Suspect is set if the task was a suspect before, and Crashes is the number of
+	// crashes that counted against it.
+	Suspect bool
+	Crashes int
+}
+
+// Verdict says what a crash means for the task of one run.
+type Verdict struct {
+	// Suspect is set if the task may have crashed the worker.
+	Suspect bool
+	// Counts is set if the crash counts against the task: its run was on the worker.
+	Counts bool
+	// GiveUp is set if the task must not start again.
+	GiveUp bool
+}
+
+// Judge returns a verdict for each run that was on a worker when it crashed. The
+// suspects are the runs that had started just before the crash, or else all that
+// aren't known to be sound, and besides the only one that was a suspect before. A
+// crash at the same time as those of other workers has
+// a cause outside, unless a run had just started.
+//
+// A run that isn't known to have started counts as started if nothing else explains
+// the crash. A single crash never gives a task up, since the tasks that started just before
+// it share the suspicion. The caller separates suspects, so that a second crash
+// tells which one it was.
+func Judge(runs []Run, simultaneous bool) []Verdict {
+	fresh, suspects := 0, 0
+	for _, r := range runs {
+		if r.fresh() {
+			fresh++
+		}
+		if r.Suspect {
+			suspects++
+		}
+	}
+	out := make([]Verdict, len(runs))
+	for k, r := range runs {
+		sole := len(runs) == 1 || r.Suspect && suspects == 1
+		switch {
+		case r.Suspect && sole:
+			out[k].Suspect = r.Age < SoundAge
+		case fresh > 0:
+			out[k].Suspect = r.fresh()
+		case !simultaneous:
+			out[k].Suspect = r.Age < SoundAge
+		}
+		explained := r.fresh() && fresh == 1 || !r.AgeKnown && sole
+		if out[k].Suspect && (r.Started || explained && !simultaneous) {
+			out[k].Counts, out[k].GiveUp = true, r.givenUp(r.Crashes+1, fresh, sole)
+		}
+	}
+	return out
+}
+
+// fresh reports whether the run had started just before the crash.
+func (r Run) fresh() bool { return r.AgeKnown && r.Age < StartWindow }
+
+// givenUp reports whether the task of a suspect is to be given up after its
+// crashes, given the number of fresh runs, and whether no other suspect was on the
+// worker.
+func (r Run) givenUp(crashes, fresh int, sole bool) bool {
+	switch crashes {
+	case 1:
+		return false
+	case 2:
+		return r.fresh() && fresh == 1
+	case 3:
+		return r.fresh() || sole
+	}
+	return crashes >= maxCrashes
+}
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -58,9 +58,17 @@
 	// order.
 	Stopping bool
 	StopAt   time.Time
+	// Suspect is set if an earlier run of the task may have crashed its worker, and
+	// Crashes counts how often that was so.
+	Suspect bool
+	Crashes int
+	// Incarnation is that of the worker on which the run is, 0 if unknown. The run
+	// ended with it once the worker has a later one, unless that one reports it.
+	Incarnation int64
 	// PlacedAt is when the run was placed, zero if an earlier planner placed it.
+	// OrderedAt is when the start order was sent, zero if this planner sent none.
 	// StartedAt is when this planner first knew that the run had started.
-	PlacedAt, StartedAt time.Time
+	PlacedAt, OrderedAt, StartedAt time.Time
 	// Percent, Figure and Checkpoint are from the newest report, which came at
 	// Reported. Percent is the progress of the run. Figure is the tail latency in
 	// milliseconds for a task that serves users, and else the processors that the
@@ -148,6 +156,9 @@
 	// Failures counts the calls in a row that the worker didn't answer or refused
 	// as unhealthy.
 	Failures int
+	// SilentSince is when the worker stopped answering, as far as is known, zero
+	// while it answers.
+	SilentSince time.Time
 	// ExchangeInFlight is set while an exchange is in flight. NextExchangeAt is when the next one is
 	// due.
 	ExchangeInFlight bool
@@ -172,6 +183,8 @@
 	// Version rises with every change of the slots, and with each call of Touch.
 	Version int
 
+	// suspects counts the slots of suspects.
+	suspects     int
 	bumps        int64
 	lastReading  clockReading
 	leaseEnd     time.Time
@@ -256,6 +269,9 @@
 // Add puts a run on the worker.
 func (h *Host) Add(s *Slot) {
 	h.Slots[s.Key] = s
+	if s.Suspect {
+		h.suspects++
+	}
 	h.Used = h.Used.Plus(s.Step.Counted())
 	h.Touch()
 }
@@ -267,6 +283,9 @@
 		return nil
 	}
 	delete(h.Slots, k)
+	if s.Suspect {
+		h.suspects--
+	}
 	h.Used = h.Used.Minus(s.Step.Counted())
 	h.Touch()
 	return s
@@ -330,6 +349,13 @@
 	endedAt time.Time
 }
 
+// HasSuspects reports whether a suspect of a crash is on the worker.
+func (h *Host) HasSuspects() bool { return h.suspects > 0 }
+
+// Restarted reports whether the worker has begun another incarnation than that on
+// which the run is.
+func (h *Host) Restarted(s *Slot) bool { return s.Incarnation > 0 && h.life > s.Incarnation }
+
 // Touch raises Version.
 func (h *Host) Touch() { h.Version++ }
 
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -10,6 +10,8 @@
 type Job struct {
 	sched.Job
 	State sched.JobState
+	// Failure is why the job has failed.
+	Failure sched.JobFailure
 	// Ended is when the job got its final state, zero before.
 	Ended time.Time
 	// Occurrences holds the occurrences that have begun, by number. An occurrence
@@ -48,6 +50,11 @@
 	LastRun sched.RunNumber
 	// Failures counts the runs that ended as failed.
 	Failures int
+	// Suspect is set once the task may have crashed a worker, and Crashes counts the
+	// crashes under it for which it was a suspect. Those of a gang are kept with its
+	// first member.
+	Suspect bool
+	Crashes int
 	// Checkpoint is the checkpoint that the next run resumes from, empty if there is
 	// none.
 	Checkpoint sched.CheckpointID
@@ -60,6 +67,8 @@
 type Run struct {
 	Number sched.RunNumber
 	Worker sched.InstanceID
+	// Incarnation is that of the worker when the run was placed, 0 if unknown.
+	Incarnation int64
 }
 
 // New returns the state of a job that was just accepted.
@@ -158,11 +167,11 @@
 	return &o.Steps[r.Step].Tasks[r.Index]
 }
 
-// AddRun adds a run with the given number on a worker. All members of a gang share
-// one number.
-func (t *Task) AddRun(n sched.RunNumber, w sched.InstanceID) Run {
+// AddRun adds a run with the given number on a worker in its present incarnation. All
+// members of a gang share one number.
+func (t *Task) AddRun(n sched.RunNumber, w sched.InstanceID, incarnation int64) Run {
 	t.LastRun = n
-	r := Run{Number: n, Worker: w}
+	r := Run{Number: n, Worker: w, Incarnation: incarnation}
 	t.Runs = append(t.Runs, r)
 	return r
 }
--- a/pkg/sched/job.go
+++ b/pkg/sched/job.go
@@ -154,6 +154,31 @@
 // Final reports whether a job in this state can't change its state any more.
 func (s JobState) Final() bool { return s >= JobCompleted }
 
+// JobFailure is the reason for which a job has failed.
+type JobFailure int
+
+// Reasons for failures. FailureUnknown is that of a job that hasn't failed, or was
+// recorded by a version without reasons.
+const (
+	FailureUnknown JobFailure = iota
+	// FailureAttempts: a task, or a gang, has failed as often as its queue allows.
+	FailureAttempts
+	// FailureCrashes: a task, or a gang, has crashed the workers that started it.
+	FailureCrashes
+)
+
+// String returns the reason for callers, empty if it is unknown.
+func (f JobFailure) String() string {
+	switch f {
+	case FailureAttempts:
+		return "a task has failed as often as its queue allows"
+	case FailureCrashes:
+		return "a task has crashed the workers that started it"
+	default:
+		return ""
+	}
+}
+
 // Queue is a queue of jobs with the rules that apply to all jobs in it.
 type Queue struct {
 	Name QueueName
