Write no batch that is larger than the store takes

Nothing of the cell is recorded any more.

Cause: one append has the records of all jobs that have changed since the last one. The settings name the largest append that the store takes (2 MiB for the users), which was read and never used. The store refuses a larger one each time it is tried, and the planner tries it for ever. A cell of 1,024 workers with some 20 runs each gets there when appends take long and every job changes meanwhile. The class of fault: a limit of another system that is known and not kept.

Change: a batch takes the records of as many jobs as fit (Options.BatchLimit); the others go into the next one. The records of one job are never split, since a planner that takes over must not find half of them. Ends are acknowledged only with a batch after which no job is left, so that each applied end is in a record. Records of expired jobs are deleted first: a job that was submitted again under its id in between lost its new record before.

Evidence: TestLargeJobsDoNotStopTheOthers (a store that takes 16 KiB) before: a job submitted after 40 others with 60 tasks each is accepted and stays pending for 20 s; now all are done. TestABatchIsNoLargerThanTheStoreTakes fails before. TestEndsWaitForTheBatchWithTheirRecord fails if the ends are acknowledged with every batch.

--- a/internal/emu/world/world.go
+++ b/internal/emu/world/world.go
@@ -31,6 +31,9 @@
 	Catalog sched.Catalog
 	// Retention is the retention time of the store's history, 0 for no expiry.
 	Retention time.Duration
+	// RecordLimit and AppendLimit bound a record of the store, and the records of one
+	// append, in bytes. With 0 they are the platform's limits.
+	RecordLimit, AppendLimit int
 	// Heartbeat is the interval between two heartbeats of a worker.
 	Heartbeat time.Duration
 	// MaxOverGoal is how long fillers may keep a serving task over its latency bound
@@ -93,7 +96,7 @@
 		Jobs: w.Jobs, Guards: w.Rules.Guards, CancelTime: 3 * time.Second, ContactTime: 4 * time.Second,
 		SettlingTime: w.SettlingTime, SameCell: w.SameCell,
 	}
-	w.store = &store.Store{Retention: w.Retention}
+	w.store = &store.Store{Retention: w.Retention, MaxRecordBytes: w.RecordLimit, MaxAppendBytes: w.AppendLimit}
 	w.gangs = &work.Gangs{}
 	w.workers, w.sides = map[string]*work.Worker{}, map[sched.InstanceID]*Client{}
 	w.entries, w.lastBeat = map[sched.InstanceID]string{}, map[sched.InstanceID]time.Time{}
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
@@ -21,11 +22,18 @@
 	LearnedKey = "learned"
 )
 
-// learnedInterval is the least time between two LearnedKey records.
-const learnedInterval = 2 * time.Second
+const (
+	// learnedInterval is the least time between two LearnedKey records.
+	learnedInterval = 2 * time.Second
+	// recordOverhead is the most that the store adds to the key and the value of a
+	// record, in bytes.
+	recordOverhead = 8
+)
 
 // batch holds what Appended releases when the batch's records are durable.
 type batch struct {
+	// size is that of the records, in bytes.
+	size    int
 	replies []Reply
 	starts  []placement
 	changes []durableChange
@@ -46,8 +54,9 @@
 	number int64
 }
 
-// Flush places waiting tasks and adds one batch of records to the effects. It
-// does nothing while an earlier batch is being appended. The owner calls it
+// Flush places waiting tasks and adds one batch of records to the effects. Jobs whose
+// records would make the batch larger than Options.BatchLimit are left for the next
+// one. Flush does nothing while an earlier batch is being appended. The owner calls it
 // after every event.
 func (p *Planner) Flush(now time.Time) {
 	if p.inFlight != nil {
@@ -61,21 +70,74 @@
 		}
 		return
 	}
-	b := &batch{acks: p.unacknowledgedEnds()}
+	b := &batch{}
+	p.recordExpired(b) // first, since a job may be submitted again under the same id
+	p.recordJobs(b)
+	if len(p.dirtyJobs) == 0 {
+		// Every end that was applied is in a record now.
+		b.acks = p.unacknowledgedEnds()
+	}
+	if now.Sub(p.learnedRecordedAt) >= learnedInterval {
+		r := []sched.KeyedRecord{{Key: LearnedKey, Value: codec.EncodeLearned(p.interference, p.runTimes)}}
+		if p.hasSpace(b, r) {
+			p.learnedRecordedAt = now
+			p.appendRecords(b, r)
+		}
+	}
+	p.inFlight = b
+}
+
+// recordJobs adds the records of the dirty jobs to the batch, as far as there is space.
+func (p *Planner) recordJobs(b *batch) {
+	n := 0
 	for _, j := range p.dirtyJobs {
-		p.recordJob(j, b)
+		records := recordsOf(j)
+		if !p.hasSpace(b, records) {
+			break
+		}
+		p.appendRecords(b, records)
+		b.release(j)
+		n++
 	}
+	p.dirtyJobs = slices.Delete(p.dirtyJobs, 0, n)
+}
+
+// recordExpired deletes the records of expired jobs with the batch, as far as there is
+// space.
+func (p *Planner) recordExpired(b *batch) {
+	n := 0
 	for _, id := range p.expiredJobs {
-		p.appendRecord(RunPrefix+string(id), nil)
+		r := []sched.KeyedRecord{{Key: RunPrefix + string(id)}}
+		if !p.hasSpace(b, r) {
+			break
+		}
+		p.appendRecords(b, r)
+		n++
 	}
-	if now.Sub(p.learnedRecordedAt) >= learnedInterval {
-		p.learnedRecordedAt = now
-		p.appendRecord(LearnedKey, codec.EncodeLearned(p.interference, p.runTimes))
+	p.expiredJobs = slices.Delete(p.expiredJobs, 0, n)
+}
+
+// hasSpace reports whether the records fit into the batch. The records of one job are
+// never split, so a batch takes at least those of one.
+func (p *Planner) hasSpace(b *batch, records []sched.KeyedRecord) bool {
+	size := b.size
+	for _, r := range records {
+		size += sizeOf(r)
+	}
+	return b.size == 0 || p.options.BatchLimit == 0 || size <= p.options.BatchLimit
+}
+
+// appendRecords adds records to the effects and counts them for the batch.
+func (p *Planner) appendRecords(b *batch, records []sched.KeyedRecord) {
+	p.effects.Append = append(p.effects.Append, records...)
+	for _, r := range records {
+		b.size += sizeOf(r)
 	}
-	p.dirtyJobs, p.expiredJobs = p.dirtyJobs[:0], p.expiredJobs[:0]
-	p.inFlight = b
 }
 
+// sizeOf returns the size of a record in the store, in bytes.
+func sizeOf(r sched.KeyedRecord) int { return len(r.Key) + len(r.Value) + recordOverhead }
+
 // unacknowledgedEnds returns an acknowledgement for every worker with ends that
 // were applied and not acknowledged.
 func (p *Planner) unacknowledgedEnds() []endAck {
@@ -97,16 +159,20 @@
 	}
 }
 
-// recordJob adds the records of a dirty job to the effects, and to the batch
-// what is released with them.
-func (p *Planner) recordJob(j *job, b *batch) {
+// recordsOf returns the records of a dirty job. One without a value deletes the key.
+func recordsOf(j *job) []sched.KeyedRecord {
+	var out []sched.KeyedRecord
 	if j.unrecorded {
-		p.appendRecord(JobPrefix+string(j.ID), codec.EncodeJob(j.Job.Job))
+		out = append(out, sched.KeyedRecord{Key: JobPrefix + string(j.ID), Value: codec.EncodeJob(j.Job.Job)})
 	}
 	if j.State.Final() && !j.durableState.Final() && !j.unrecorded {
-		p.appendRecord(JobPrefix+string(j.ID), nil)
+		out = append(out, sched.KeyedRecord{Key: JobPrefix + string(j.ID)})
 	}
-	p.appendRecord(RunPrefix+string(j.ID), codec.EncodeProgress(j.Job))
+	return append(out, sched.KeyedRecord{Key: RunPrefix + string(j.ID), Value: codec.EncodeProgress(j.Job)})
+}
+
+// release adds to the batch what a job whose records it has releases with them.
+func (b *batch) release(j *job) {
 	j.dirty, j.unrecorded = false, false
 	b.replies = append(b.replies, j.pendingReplies...)
 	b.starts = append(b.starts, j.pendingStarts...)
@@ -114,11 +180,6 @@
 	j.pendingReplies, j.pendingStarts = nil, nil
 }
 
-// appendRecord adds a record to the effects. A nil value deletes the key.
-func (p *Planner) appendRecord(key string, value []byte) {
-	p.effects.Append = append(p.effects.Append, sched.KeyedRecord{Key: key, Value: value})
-}
-
 // Appended tells the planner that the batch in flight, sent at the given time,
 // is durable. It releases the replies, acknowledgements and start orders that
 // waited for the batch.
