Refuse a job whose records would be larger than the store takes

Cause: the state of a job is one record. Its size grows with the tasks under way, 98 bytes for a task in the worst state of the test, and the store takes 256 KiB; jobs of up to 10,000 tasks were accepted.

Checkpoints may have any length, so they are left out of a record that would be too large with them: then tasks lose their progress with a hand-over, and nothing else. Estimates that are too large aren't recorded, which is logged.

Evidence: TestLargeJobsDoNotStopTheOthers/many_tasks (a store that takes records of 8 KiB, a job with 1,200 tasks) before: a job submitted later is accepted and pending for 20 s; now it is done, and the large one is refused. TestAJobTooLargeForItsRecordsIsRefused and TestTheRecordOfTheLargestJobFits fail before. Jobs of the users' sites have at most some hundred tasks, so that none of them is refused.

--- a/internal/emu/site/size_test.go
+++ b/internal/emu/site/size_test.go
@@ -23,13 +23,14 @@
 		schedule sched.Schedule
 	}{
 		{"many jobs at the same time", 40, 60, sched.Schedule{}},
+		{"many tasks", 1, 1200, sched.Schedule{}},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				i := is.New(t)
 				x := newSizedTrial(1, 3, 6, 1)
-				x.world.RecordLimit, x.world.AppendLimit, x.site.Options.BatchLimit = 8<<10, 16<<10, 16<<10
+				x.setStoreLimits(8<<10, 16<<10)
 				c, stop, loops := x.begin()
 				time.Sleep(6 * time.Second)
 				row.schedule.First = time.Now().Add(time.Second)
@@ -55,6 +56,12 @@
 	}
 }
 
+// setStoreLimits sets the size of the largest record and of the largest append, in bytes.
+func (t *trial) setStoreLimits(record, batch int) {
+	t.world.RecordLimit, t.world.AppendLimit = record, batch
+	t.site.Options.RecordLimit, t.site.Options.BatchLimit = record, batch
+}
+
 // submitSized submits a job with one step of small tasks, which take 4 s, and reports
 // whether it was accepted.
 func (t *trial) submitSized(c context.Context, id sched.JobID, tasks int, s sched.Schedule) bool {
--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -87,7 +87,7 @@
 	return cell.Options{
 		LeaseLimit: s.Bounds.LeaseLimit, StopLimit: s.Bounds.StopLimit, StatusKept: s.Bounds.StatusKept,
 		Early: s.Bounds.Early, GangLimit: s.Bounds.GangLimit, Restore: s.Bounds.Restore, FarFactor: s.Bounds.FarFactor,
-		AwayNotice: s.Bounds.AwayNotice, BatchLimit: s.Quota.CallBytes,
+		AwayNotice: s.Bounds.AwayNotice, RecordLimit: s.Quota.RecordBytes, BatchLimit: s.Quota.CallBytes,
 	}
 }
 
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
 	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
@@ -77,13 +79,7 @@
 		// Every end that was applied is in a record now.
 		b.acks = p.unacknowledgedEnds()
 	}
-	if now.Sub(p.learnedRecordedAt) >= learnedInterval {
-		r := []sched.KeyedRecord{{Key: LearnedKey, Value: codec.EncodeLearned(p.interference, p.runTimes)}}
-		if p.hasSpace(b, r) {
-			p.learnedRecordedAt = now
-			p.appendRecords(b, r)
-		}
-	}
+	p.recordLearned(now, b)
 	p.inFlight = b
 }
 
@@ -91,7 +87,7 @@
 func (p *Planner) recordJobs(b *batch) {
 	n := 0
 	for _, j := range p.dirtyJobs {
-		records := recordsOf(j)
+		records := p.recordsOf(j)
 		if !p.hasSpace(b, records) {
 			break
 		}
@@ -117,6 +113,25 @@
 	p.expiredJobs = slices.Delete(p.expiredJobs, 0, n)
 }
 
+// recordLearned adds the estimates to the batch when they are due, if there is space.
+// Estimates that are larger than the store takes aren't recorded.
+func (p *Planner) recordLearned(now time.Time, b *batch) {
+	if now.Sub(p.learnedRecordedAt) < learnedInterval {
+		return
+	}
+	r := sched.KeyedRecord{Key: LearnedKey, Value: codec.EncodeLearned(p.interference, p.runTimes)}
+	limit := p.valueLimit(LearnedKey)
+	switch fits := limit == 0 || len(r.Value) <= limit; {
+	case !fits:
+		p.options.Log.Warn("learnedTooLarge", zap.Int("bytes", len(r.Value)), zap.Int("limit", limit))
+	case !p.hasSpace(b, []sched.KeyedRecord{r}):
+		return
+	default:
+		p.appendRecords(b, []sched.KeyedRecord{r})
+	}
+	p.learnedRecordedAt = now
+}
+
 // hasSpace reports whether the records fit into the batch. The records of one job are
 // never split, so a batch takes at least those of one.
 func (p *Planner) hasSpace(b *batch, records []sched.KeyedRecord) bool {
@@ -160,7 +175,7 @@
 }
 
 // recordsOf returns the records of a dirty job. One without a value deletes the key.
-func recordsOf(j *job) []sched.KeyedRecord {
+func (p *Planner) recordsOf(j *job) []sched.KeyedRecord {
 	var out []sched.KeyedRecord
 	if j.unrecorded {
 		out = append(out, sched.KeyedRecord{Key: JobPrefix + string(j.ID), Value: codec.EncodeJob(j.Job.Job)})
@@ -168,7 +183,17 @@
 	if j.State.Final() && !j.durableState.Final() && !j.unrecorded {
 		out = append(out, sched.KeyedRecord{Key: JobPrefix + string(j.ID)})
 	}
-	return append(out, sched.KeyedRecord{Key: RunPrefix + string(j.ID), Value: codec.EncodeProgress(j.Job)})
+	key := RunPrefix + string(j.ID)
+	return append(out, sched.KeyedRecord{Key: key, Value: codec.EncodeProgress(j.Job, p.valueLimit(key))})
+}
+
+// valueLimit returns the size of the largest value that the store takes under the key,
+// in bytes, 0 if there is no limit.
+func (p *Planner) valueLimit(key string) int {
+	if p.options.RecordLimit == 0 {
+		return 0
+	}
+	return max(1, p.options.RecordLimit-len(key)-recordOverhead)
 }
 
 // release adds to the batch what a job whose records it has releases with them.
--- a/pkg/cell/call.go
+++ b/pkg/cell/call.go
@@ -1,10 +1,12 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/share"
@@ -33,20 +35,11 @@
 		p.scheduledJobs[s.ID] = j
 	}
 	p.options.Log.Info("jobAccepted", zap.String("job", string(s.ID)), zap.String("queue", string(s.Queue.Name)),
-		zap.Int("steps", len(s.Steps)), zap.Int("tasks", taskCount(s)))
+		zap.Int("steps", len(s.Steps)), zap.Int("tasks", s.TaskCount()*s.Occurrences()))
 	p.markDirty(j)
 	p.openOccurrences(now, j)
 }
 
-// taskCount returns the number of tasks in all occurrences of a job.
-func taskCount(j sched.Job) int {
-	n := 0
-	for _, s := range j.Steps {
-		n += s.Tasks
-	}
-	return n * j.Occurrences()
-}
-
 // replyRecorded accepts a repeated submission or a cancel once the job is
 // durable, and its final state too if it has ended.
 func (p *Planner) replyRecorded(j *job, t Ticket) {
@@ -207,10 +200,37 @@
 	return p.pendingByQueue, now.Sub(p.provenAt) < maxPendingProofAge
 }
 
-// admit refuses every job during an outage of the store and accepts any other.
-func (p *Planner) admit(_ time.Time, _ sched.Job) sched.Verdict {
+// admit refuses every job during an outage of the store, and one whose records would be
+// larger than the store takes. It accepts any other.
+func (p *Planner) admit(_ time.Time, s sched.Job) sched.Verdict {
 	if p.outageRetryAfter > 0 {
 		return p.outageVerdict()
 	}
+	if n, most := s.TaskCount(), p.maxOpenTasks(); n > most {
+		return sched.Verdict{
+			Code: sched.CodeTooLarge, Reason: fmt.Sprintf("%d tasks, at most %d can be recorded", n, most),
+		}
+	}
+	key := JobPrefix + string(s.ID)
+	if limit := p.valueLimit(key); limit > 0 {
+		if n := len(codec.EncodeJob(s)); n > limit {
+			return sched.Verdict{
+				Code: sched.CodeTooLarge, Reason: fmt.Sprintf("the job takes %d bytes, at most %d can be recorded", n, limit),
+			}
+		}
+	}
 	return acceptedVerdict
 }
+
+// recordBytesPerTask is more than what a task takes in the record of its job, in bytes:
+// its counts, a checkpoint of 16 characters, and two runs, each on a worker of its own.
+const recordBytesPerTask = 128
+
+// maxOpenTasks returns how many tasks of a job may be under way at the same time, so that
+// their state fits into one record.
+func (p *Planner) maxOpenTasks() int {
+	if p.options.RecordLimit == 0 {
+		return sched.MaxTasks
+	}
+	return min(sched.MaxTasks, max(1, p.options.RecordLimit/recordBytesPerTask))
+}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -42,10 +42,10 @@
 	// PredecessorStopped is set if the preceding planner is known to send no more orders.
 	// Otherwise it may renew leases for another ProofValidity.
 	PredecessorStopped bool
-	// BatchLimit is the size of the largest batch that the store takes, in bytes, 0 if
-	// it has no limit.
-	BatchLimit int
-	Log        *zap.Logger
+	// RecordLimit and BatchLimit are the sizes of the largest record and of the largest
+	// batch that the store takes, in bytes, 0 if there is no limit.
+	RecordLimit, BatchLimit int
+	Log                     *zap.Logger
 }
 
 // Planner plans one cell. It isn't safe for concurrent use.
--- /dev/null
+++ b/pkg/cell/record_test.go
@@ -0,0 +1,102 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// recordLimit is the size of the largest record of the store in these tests, in bytes.
+const recordLimit = 16 << 10
+
+func newRecordRig(t *testing.T) *rig {
+	r := newRig(t)
+	o := options(1)
+	o.RecordLimit = recordLimit
+	r.planner = cell.New(r.now, nil, o)
+	return r
+}
+
+// Guards against a job that is accepted though its records are larger than the store takes.
+func TestAJobTooLargeForItsRecordsIsRefused(t *testing.T) {
+	wide, many := step(), step()
+	wide.Tasks = 2000
+	many.Label = strings.Repeat("x", recordLimit)
+	rows := []struct {
+		name string
+		job  sched.Job
+		want sched.Code
+	}{
+		{"many tasks", job("a", wide), sched.CodeTooLarge},
+		{"long names", job("b", many), sched.CodeTooLarge},
+		{"an ordinary job", job("c", step()), sched.CodeAccepted},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			r := newRecordRig(t)
+			k := r.submit(row.job)
+			r.commit()
+			is.New(t).Equal(r.replies[k].Code, row.want)
+		})
+	}
+}
+
+// Guards against a record that grows beyond what the store takes while the job is under
+// way.
+func TestTheRecordOfTheLargestJobFits(t *testing.T) {
+	rows := []struct {
+		name       string
+		steps      int
+		checkpoint string
+	}{
+		{"one step", 1, "0123456789abcdef"},
+		{"a step for each task", 100, "0123456789abcdef"},
+		{"long checkpoints", 1, strings.Repeat("c", 2000)},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			r := newRecordRig(t)
+			var j sched.Job
+			for n := 2000; j.ID == ""; n -= row.steps {
+				s := step()
+				s.Tasks = max(1, n/row.steps)
+				x := job(fmt.Sprint("j", n), slices.Repeat([]sched.Step{s}, row.steps)...)
+				k := r.submit(x)
+				r.commit()
+				if r.replies[k].Code == sched.CodeAccepted {
+					j = x
+				}
+			}
+			full := jobs.New(j)
+			full.Begin(epoch)
+			runs := 0
+			for _, s := range full.Occurrences[0].Steps {
+				for k := range s.Tasks {
+					t := &s.Tasks[k]
+					t.Failures, t.Suspect, t.Crashes, t.Checkpoint = 3, true, 3, sched.CheckpointID(row.checkpoint)
+					for n := range 2 {
+						runs++
+						t.AddRun(sched.RunNumber(500+n), sched.InstanceID(fmt.Sprintf("i-%016x", runs)), epoch.UnixMilli())
+					}
+				}
+			}
+			data := codec.EncodeProgress(full, recordLimit)
+			i.True(len(data) <= recordLimit)
+			back := jobs.New(j)
+			i.NoErr(codec.DecodeProgress(back, data))
+			i.Equal(len(back.Occurrences[0].Steps[0].Tasks[0].Runs), 2)
+			kept := back.Occurrences[0].Steps[0].Tasks[0].Checkpoint != ""
+			i.Equal(kept, len(row.checkpoint) < 100) // only long checkpoints are dropped
+			t.Logf("%d tasks, %d bytes", j.TaskCount(), len(data))
+		})
+	}
+}
--- a/pkg/codec/cell.go
+++ b/pkg/codec/cell.go
@@ -168,8 +168,26 @@
 
 // EncodeProgress encodes the part of a job that changes: its state, its open
 // occurrences and their tasks and runs. The message lists each worker once, and
-// runs refer to workers by index.
-func EncodeProgress(j *jobs.Job) []byte {
+// runs refer to workers by index. Checkpoints are left out if the message would be larger
+// than limit with them, in bytes; a limit of 0 is none. Tasks then start from the
+// beginning after a change of the planner.
+func EncodeProgress(j *jobs.Job, limit int) []byte {
+	m := progressMessage(j)
+	data := mustMarshal(m)
+	if limit <= 0 || len(data) <= limit {
+		return data
+	}
+	for _, o := range m.GetOccurrences() {
+		for _, s := range o.GetSteps() {
+			for _, t := range s.GetTasks() {
+				t.Saved = ""
+			}
+		}
+	}
+	return mustMarshal(m)
+}
+
+func progressMessage(j *jobs.Job) *pb.CellProgress {
 	m := &pb.CellProgress{
 		State: uint32(j.State), Next: uint32(j.Next), Over: uint32(j.CompletedOccurrences), Queue: string(j.Queue.Name),
 		Failure: uint32(j.Failure),
@@ -199,7 +217,7 @@
 		}
 		m.Occurrences = append(m.Occurrences, x)
 	}
-	return mustMarshal(m)
+	return m
 }
 
 // stepProgress converts the tasks of one step. Done tasks are a bit set; the other
--- a/pkg/sched/check.go
+++ b/pkg/sched/check.go
@@ -5,11 +5,13 @@
 	"time"
 )
 
-// Limits on the size of one job. Real jobs have at most a few hundred tasks; the
-// limits prevent one caller from exhausting a planner's memory.
+// MaxTasks is the largest number of tasks in one occurrence of a job.
+const MaxTasks = 10_000
+
+// Limits on the size of one job. Real jobs have at most a few hundred tasks; these
+// limits, and MaxTasks, prevent one caller from exhausting a planner's memory.
 const (
 	maxSteps       = 200
-	maxTasks       = 10_000
 	maxOccurrences = 10_000
 	// The resources of one task have limits beyond the size of any machine.
 	maxProcessors   = 1 << 30 // thousandths
@@ -47,15 +49,13 @@
 	case s.Every < 0:
 		return &JobError{-1, "the interval must not be negative"}
 	}
-	tasks := 0
 	for k, s := range j.Steps {
 		if err := s.check(k); err != nil {
 			return err
 		}
-		tasks += s.Tasks
 	}
-	if tasks > maxTasks {
-		return &JobError{-1, fmt.Sprintf("%d tasks, at most %d are taken", tasks, maxTasks)}
+	if tasks := j.TaskCount(); tasks > MaxTasks {
+		return &JobError{-1, fmt.Sprintf("%d tasks, at most %d are taken", tasks, MaxTasks)}
 	}
 	return nil
 }
@@ -64,8 +64,8 @@
 func (s Step) check(k int) error {
 	const longestRun = 1000 * time.Hour
 	switch n := s.Needs; {
-	case s.Tasks < 1 || s.Tasks > maxTasks:
-		return &JobError{k, fmt.Sprintf("%d tasks, 1 to %d are taken", s.Tasks, maxTasks)}
+	case s.Tasks < 1 || s.Tasks > MaxTasks:
+		return &JobError{k, fmt.Sprintf("%d tasks, 1 to %d are taken", s.Tasks, MaxTasks)}
 	case n.Processors < 0 || n.Memory < 0 || n.Accelerators < 0:
 		return &JobError{k, "resources must not be negative"}
 	case n.Processors > maxProcessors || n.Memory > maxMemory || n.Accelerators > maxAccelerators:
--- a/pkg/sched/code.go
+++ b/pkg/sched/code.go
@@ -62,7 +62,7 @@
 		{CodeIDMissing, "idMissing", 400, "An unrepeatable request needs a request id (UUIDv7)."},
 		{CodeIDTooOld, "idTooOld", 410, "The request id is older than dedupWindow."},
 		{CodeIDFromFuture, "idFromFuture", 400, "The request id is further in the future than clockBound."},
-		{CodeTooLarge, "tooLarge", 413, "The request body is larger than allowed."},
+		{CodeTooLarge, "tooLarge", 413, "The request body, or the job in it, is larger than allowed."},
 		{CodeUnknownKind, "unknownKind", 404, "The configuration in force has no such task kind."},
 		{CodeNeverFits, "neverFits", 422, "The task fits no worker; the message gives the largest fit."},
 		{CodeUnknownTask, "unknownTask", 404, "No such task is known."},
--- a/pkg/sched/job.go
+++ b/pkg/sched/job.go
@@ -107,6 +107,15 @@
 // Occurrences returns the number of times that the steps run, at least 1.
 func (j Job) Occurrences() int { return max(1, j.Schedule.Times) }
 
+// TaskCount returns the number of tasks in one occurrence of the job.
+func (j Job) TaskCount() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Tasks
+	}
+	return n
+}
+
 // WithSubmittedAt returns a copy of the job with the given submission time.
 func (j Job) WithSubmittedAt(t time.Time) Job {
 	j.SubmittedAt = t
