Open no more occurrences than the record of a job holds

What callers would see: a job whose occurrences are due faster than they are done, or all at once, has so many tasks under way that its record is larger than the store takes; no job of its cell is accepted, started or ended any more.

Cause: every occurrence that was due was opened, without a bound.

Change: an occurrence waits until earlier ones are done if more tasks would be open than fit into the job's record, or than a job may have.

Evidence: TestLargeJobsDoNotStopTheOthers/many_occurrences_at_the_same_time (records of 8 KiB, 600 occurrences of 3 tasks due at once) before: a job submitted later isn't accepted; now all 1,800 tasks and the other job are done. TestOccurrencesOpenAsEarlierOnesEnd fails before.

--- a/internal/emu/site/size_test.go
+++ b/internal/emu/site/size_test.go
@@ -20,10 +20,12 @@
 		name     string
 		jobs     int
 		tasks    int
+		runTime  time.Duration
 		schedule sched.Schedule
 	}{
-		{"many jobs at the same time", 40, 60, sched.Schedule{}},
-		{"many tasks", 1, 1200, sched.Schedule{}},
+		{"many jobs at the same time", 40, 60, 4 * time.Second, sched.Schedule{}},
+		{"many tasks", 1, 1200, 4 * time.Second, sched.Schedule{}},
+		{"many occurrences at the same time", 1, 3, 200 * time.Millisecond, sched.Schedule{Times: 600}},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -35,11 +37,11 @@
 				time.Sleep(6 * time.Second)
 				row.schedule.First = time.Now().Add(time.Second)
 				for k := range row.jobs {
-					loops.Go(func() { x.submitSized(c, sched.JobID(fmt.Sprintf("%016x", k+1)), row.tasks, row.schedule) })
+					loops.Go(func() { x.submitSized(c, sched.JobID(fmt.Sprintf("%016x", k+1)), row.tasks, row.runTime, row.schedule) })
 				}
 				time.Sleep(3 * time.Second)
 				const last = "ffffffffffffffff"
-				accepted := x.submitSized(c, last, 1, sched.Schedule{})
+				accepted := x.submitSized(c, last, 1, row.runTime, sched.Schedule{})
 				time.Sleep(20 * time.Second)
 				state := x.caller.PollState(c, last, time.Now())
 				unfinished := x.world.Audit.Unfinished()
@@ -62,10 +64,9 @@
 	t.site.Options.RecordLimit, t.site.Options.BatchLimit = record, batch
 }
 
-// submitSized submits a job with one step of small tasks, which take 4 s, and reports
-// whether it was accepted.
-func (t *trial) submitSized(c context.Context, id sched.JobID, tasks int, s sched.Schedule) bool {
-	const runTime = 4 * time.Second
+// submitSized submits a job with one step of small tasks and reports whether it was
+// accepted.
+func (t *trial) submitSized(c context.Context, id sched.JobID, tasks int, runTime time.Duration, s sched.Schedule) bool {
 	j := sched.Job{ID: id, Queue: queue, Payload: "payload", Schedule: s, Steps: []sched.Step{{
 		Tasks: tasks, Needs: sched.Resources{Processors: 10, Memory: 1 << 20}, Estimate: runTime,
 	}}}
--- a/pkg/cell/call.go
+++ b/pkg/cell/call.go
@@ -54,7 +54,7 @@
 // openOccurrences opens the occurrences of a job that are due and queues the
 // tasks of their open steps.
 func (p *Planner) openOccurrences(now time.Time, j *job) {
-	for _, o := range j.Begin(now.Add(p.options.Early / 2)) {
+	for _, o := range j.Begin(now.Add(p.options.Early/2), p.maxOpenTasks()) {
 		for s := range o.Steps {
 			if o.Steps[s].Open {
 				p.enqueueStep(j, o, s)
--- a/pkg/cell/record_test.go
+++ b/pkg/cell/record_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -77,7 +78,7 @@
 				}
 			}
 			full := jobs.New(j)
-			full.Begin(epoch)
+			full.Begin(epoch, sched.MaxTasks)
 			runs := 0
 			for _, s := range full.Occurrences[0].Steps {
 				for k := range s.Tasks {
@@ -100,3 +101,44 @@
 		})
 	}
 }
+
+// Guards against occurrences that are all opened at the same time, however many are due.
+func TestOccurrencesOpenAsEarlierOnesEnd(t *testing.T) {
+	i := is.New(t)
+	r := newRecordRig(t)
+	for k := range 4 {
+		w := worker(k)
+		w.Capacity = sched.Resources{Processors: 1 << 20, Memory: 1 << 50}
+		r.list(w)
+	}
+	s := step()
+	s.Tasks = 3
+	j := job("a", s)
+	j.Schedule = sched.Schedule{Times: 100, First: r.now}
+	r.submit(j)
+	ends := map[sched.InstanceID][]sched.EndedRun{}
+	rounds := 0
+	for ; ; rounds++ {
+		r.pass(time.Second)
+		r.commit()
+		starts := r.starts()
+		if len(starts) == 0 {
+			break
+		}
+		i.True(len(starts) <= recordLimit/128) // as many as the record holds
+		for _, x := range starts {
+			r.start(x, nil)
+			n := int64(len(ends[x.Worker.ID]) + 1)
+			ends[x.Worker.ID] = append(ends[x.Worker.ID], sched.EndedRun{Number: n, Task: x.Order.Task, Run: x.Order.Run, End: sched.EndDone})
+		}
+		r.commit()
+		r.pass(time.Second)
+		for id, list := range ends {
+			r.exchange(id, sched.LeaseAnswer{Ended: list}, nil)
+		}
+		r.commit()
+	}
+	i.Equal(rounds, 3) // 42, 42 and 16 occurrences
+	state, _ := r.planner.State(r.now, "a")
+	i.Equal(state, sched.JobCompleted)
+}
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -77,13 +77,19 @@
 }
 
 // Begin opens every occurrence that is due by the given time and returns the newly
-// opened ones. A job without a schedule has one occurrence, which is due at once.
-func (j *Job) Begin(now time.Time) []*Occurrence {
+// opened ones. A job without a schedule has one occurrence, which is due at once. An
+// occurrence beside which more than maxTasks tasks would be open waits until earlier ones
+// are done.
+func (j *Job) Begin(now time.Time, maxTasks int) []*Occurrence {
 	var begun []*Occurrence
+	tasks := j.TaskCount()
 	for !j.State.Final() && j.Next < j.Job.Occurrences() {
 		if j.Schedule.Times > 0 && j.Schedule.Due(j.Next).After(now) {
 			break
 		}
+		if n := len(j.Occurrences); n > 0 && (n+1)*tasks > maxTasks {
+			break
+		}
 		o := j.openOccurrence(j.Next)
 		j.Next++
 		begun = append(begun, o)
