Don't replay a page that begins beyond the next record

What callers saw: all tasks of a data centre wait for good, though planners and workers are up.

Cause: on a page that begins beyond the next record the replay was reset, and then went on with the rest of the same page. The planner that was responsible wrote none, since it wasn't ready, and the others weren't responsible. The class of fault: the answer to a question that isn't being asked any more is used.

By reading, the same can happen within one process: after a pause a second read is requested beside the first one, and if one of them is told that the stream was trimmed, the replay starts again while a read of the earlier replay is out.

Change: such a page is ignored and the read is repeated after readInterval.

--- a/pkg/plan/stream.go
+++ b/pkg/plan/stream.go
@@ -83,6 +83,11 @@
 func (i RecordsRead) apply(p *Planner) {
 	p.readStartedAt = time.Time{}
 	p.lastReadAt = p.now
+	if len(i.Page.Records) > 0 && i.Page.Records[0].Offset > p.NextOffset() {
+		// The read was requested before the replay started again. From this page it
+		// would begin in the middle of the stream.
+		return
+	}
 	p.ledger.Start(p.NextOffset())
 	p.earliestRetained = i.Page.Earliest
 	for _, r := range i.Page.Records {
