Call a run stalled by what its worker has reported only

Cause: a run counted as stalled when its progress was the same for a second or so by the planner's clock, also if no report had come meanwhile. When the planner lacks processor time for a moment, all reports are late, it stops and copies runs that are fine on sound workers, and has more to do than before. A worker whose reports are late because of the path to it lost its runs in the same way. The class of fault: the absence of a report taken for a report of no progress; overload that feeds itself.

Change: the time without progress is counted between reports.

Evidence: TestARunIsNotMovedBecauseReportsAreLate fails before; a report without progress still moves the run.

Two tests (TestACopyIsNotStartedBeyondAShrunkCapacity, TestACopyGivenUpBeforeItsStartDoesNotRestartTheTask) let a run stall by reporting nothing, which was the fault; they report it without progress now and check the same.

--- a/pkg/cell/double_run_test.go
+++ b/pkg/cell/double_run_test.go
@@ -33,12 +33,8 @@
 	r.pass(time.Second)
 	r.exchange(s.Worker.ID, sched.LeaseAnswer{Running: []sched.RunningRun{running(s, 10)}}, nil)
 	r.commit()
-	for range 20 { // until the run counts as stalled; the batch with its copy is in flight then
-		if r.pass(100 * time.Millisecond); r.flight {
-			break
-		}
-	}
-	i.True(r.flight)
+	r.stall(s)
+	i.True(r.flight) // with the record of the copy
 	r.exchange(s.Worker.ID, sched.LeaseAnswer{Ended: []sched.EndedRun{ended(s, sched.EndDone)}}, nil)
 	for range 5 {
 		r.commit()
--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -64,8 +64,8 @@
 	// and stragglerInterval the time between two checks of a worker.
 	stragglerMinAge   = 800 * time.Millisecond
 	stragglerInterval = 250 * time.Millisecond
-	// A run is stalled if its progress hasn't changed for longer than stallTime
-	// and stallPart of its expected time; for fillers, fillerStallPart.
+	// A run is stalled if its worker has reported the same progress for longer than
+	// stallTime and stallPart of its expected time; for fillers, fillerStallPart.
 	stallTime       = 900 * time.Millisecond
 	stallPart       = 0.15
 	fillerStallPart = 0.5
@@ -112,7 +112,7 @@
 
 // lateness compares a run that takes for the time left with the expected time of its
 // whole task. A longer expected time never makes the run later.
-func (p *Planner) lateness(now time.Time, s *hosts.Slot, left, expected time.Duration) lateness {
+func (p *Planner) lateness(s *hosts.Slot, left, expected time.Duration) lateness {
 	elsewhere := expected
 	if s.Step.Checkpoints && s.Checkpoint != "" {
 		elsewhere = expected*time.Duration(donePercent-s.Percent)/donePercent + p.options.Restore
@@ -123,7 +123,7 @@
 		part, factor = fillerStallPart, fillerMoveFactor
 	}
 	return lateness{
-		stalled:  now.Sub(s.ProgressedAt) > stallTime+time.Duration(part*float64(expected)),
+		stalled:  s.ReportedAt.Sub(s.ProgressedAt) > stallTime+time.Duration(part*float64(expected)),
 		slow:     left > time.Duration(copyFactor*float64(expected)),
 		verySlow: left > time.Duration(factor*float64(elsewhere))+moveCost,
 	}
@@ -134,11 +134,11 @@
 func (p *Planner) relieveStraggler(now time.Time, h *hosts.Host, s *hosts.Slot, j *job) {
 	left := p.remainingTime(now, j, s)
 	expected := p.runTimes.Expect(j.Queue.Name, s.Step)
-	if !p.lateness(now, s, left, expected).any() {
+	if !p.lateness(s, left, expected).any() {
 		return // the other runs of the step, which take long to look at, don't change that
 	}
 	expected = max(expected, p.siblingTime(j, s))
-	late := p.lateness(now, s, left, expected)
+	late := p.lateness(s, left, expected)
 	t := j.Task(s.Task)
 	if t == nil || t.Done {
 		return
