Judge a crash by when the worker fell silent, not by which call failed first

What callers saw: a job was shown as failed though only one worker had crashed under it (LOST); and a task that crashes its workers was started again and again, since its crashes counted for nobody (BUDGET).

Cause: SilentSince was the time of the first call whose failure was noticed. A start times out after 0.32 s, the exchange that was sent before it after 1.9 s, so the start won. Runs that had started before the crash looked older than they were, and starts sent to a dead worker looked like its newest runs. The class of fault: the order in which failures are noticed is taken for that in which things happened.

Fix: - The worker has been silent since the earliest call without an answer, but not since before its last answer. A later failure of an earlier call corrects the time. - A start that was sent after the worker must have stopped answering has never begun; neither has one that another worker at the address refused. Neither is judged. - Starts without an answer no longer share the guilt of a run that is known to have started. - Two crashes give a task up only if its run is known to have started. An unanswered start still counts, and the third crash gives the task up.

--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,20 +39,26 @@
 	at     time.Time
 }
 
-// noteSilence notes that a worker didn't answer a call, unless it was silent before.
-// A call that timed out tells only that the worker was silent at some time since it
-// was sent, and that of a worker which this planner hasn't reached yet tells nothing.
-func (p *Planner) noteSilence(h *hosts.Host, r Result) {
-	if r.Err == nil || !h.SilentSince.IsZero() || !h.RunsKnown {
+// noteSilence notes that a worker didn't answer a call, to which it may wait for the
+// given time before it answers. A call that broke off tells when it did. One that timed
+// out tells only that the worker was silent when it should have answered, and perhaps
+// before; the first of several such calls counts, whichever times out first. A call of
+// a worker that this planner hasn't reached yet tells nothing.
+func (p *Planner) noteSilence(h *hosts.Host, r Result, wait time.Duration) {
+	if r.Err == nil || !h.RunsKnown {
 		return
 	}
-	h.SilentSince = r.Received
+	since, by := r.Received, r.Received
 	if errors.Is(r.Err, context.DeadlineExceeded) {
-		h.SilentSince = r.Sent
+		since, by = r.Sent, r.Sent.Add(wait)
 	}
-	for len(p.silences) > 0 && r.Received.Sub(p.silences[0].at) > silenceRetention {
-		p.silences = p.silences[1:]
+	before := h.SilentSince
+	if !h.Silent(since, by) {
+		return
 	}
+	p.silences = slices.DeleteFunc(p.silences, func(s silence) bool {
+		return r.Received.Sub(s.at) > silenceRetention || s == silence{h.ID, before}
+	})
 	p.silences = append(p.silences, silence{h.ID, h.SilentSince})
 }
 
@@ -95,7 +102,7 @@
 	if at.IsZero() {
 		at = now
 	}
-	runs := p.crashedRuns(at, slots)
+	runs := p.crashedRuns(at, h, slots)
 	facts := make([]crash.Run, len(runs))
 	for k, r := range runs {
 		facts[k] = r.Run
@@ -113,12 +120,12 @@
 
 // crashedRuns returns the started runs among the slots, the members of a gang as one,
 // with their ages at the given time.
-func (p *Planner) crashedRuns(at time.Time, slots []*hosts.Slot) []crashedRun {
+func (p *Planner) crashedRuns(at time.Time, h *hosts.Host, slots []*hosts.Slot) []crashedRun {
 	var out []crashedRun
 	seen := map[sched.TaskRef]bool{}
 	for _, s := range slots {
 		j := p.jobs[s.Task.Job]
-		if j == nil || s.Phase == hosts.Recorded || j.State.Final() {
+		if j == nil || s.Phase == hosts.Recorded || j.State.Final() || orderedTooLate(h, s) {
 			continue
 		}
 		r := crashedRun{job: j, task: crashUnit(j, s.Task)}
@@ -139,6 +146,12 @@
 	return out
 }
 
+// orderedTooLate reports whether the start order of a run was sent when the worker had
+// stopped answering, so that the run has never started.
+func orderedTooLate(h *hosts.Host, s *hosts.Slot) bool {
+	return s.StartedAt.IsZero() && !h.SilentBy.IsZero() && s.OrderedAt.After(h.SilentBy)
+}
+
 // suspectTask counts a crash for a task that may have caused it, and ends its job
 // as failed if the task is to be given up.
 func (p *Planner) suspectTask(now time.Time, h *hosts.Host, r crashedRun, v crash.Verdict) {
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -113,7 +113,7 @@
 	h.ExchangeInFlight = false
 	switch {
 	case r.Err != nil || r.Answer.Refusal == sched.RefusedUnhealthy:
-		p.noteSilence(h, r.Result)
+		p.noteSilence(h, r.Result, exchangeWait)
 		p.exchangeFailed(now, h, r.Err)
 		return
 	case r.Answer.Refusal == sched.RefusedIdentity:
@@ -140,7 +140,7 @@
 	p.applyEnds(now, h, r.Answer.Ended)
 	p.reconcileRuns(now, h, r)
 	if h.RunsKnown { // until then the runs of an earlier life aren't settled
-		h.SilentSince = time.Time{}
+		h.Answered(r.Received)
 	}
 	p.updatePaces(now, h)
 	h.NextExchangeAt = now.Add(exchangePause)
@@ -263,13 +263,16 @@
 		return
 	}
 	if r.Err != nil {
-		p.noteSilence(h, r.Result)
+		p.noteSilence(h, r.Result, 0)
 		p.startUnsure(now, h, s, r.Err)
 		return
 	}
 	if !h.Read(r.Answer, r.Sent, r.Received) {
 		return // the answer is of an earlier life; the new one made the run unsure
 	}
+	if h.RunsKnown && r.Answer.Refusal != sched.RefusedIdentity {
+		h.Answered(r.Received)
+	}
 	if r.Answer.Refusal == sched.NotRefused {
 		if s.Phase == hosts.Ordered {
 			s.Clock = r.Answer.Clock
@@ -315,6 +318,7 @@
 		p.stats.NoRoom++
 		h.NoRoomUntil = now.Add(noRoomPause)
 	case sched.RefusedIdentity:
+		p.loseRun(now, h, s, "refused") // another worker has refused it, so it never started here
 		p.workerReplaced(now, h)
 		return
 	case sched.RefusedTicket:
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -51,10 +51,13 @@
 // it share the suspicion. The caller separates suspects, so that a second crash
 // tells which one it was.
 func Judge(runs []Run, simultaneous bool) []Verdict {
-	fresh, suspects := 0, 0
+	fresh, unanswered, suspects := 0, 0, 0
 	for _, r := range runs {
-		if r.fresh() {
+		switch {
+		case r.fresh() && r.Started:
 			fresh++
+		case r.fresh():
+			unanswered++
 		}
 		if r.Suspect {
 			suspects++
@@ -66,12 +69,12 @@
 		switch {
 		case r.Suspect && sole:
 			out[k].Suspect = r.Age < SoundAge
-		case fresh > 0:
+		case fresh+unanswered > 0:
 			out[k].Suspect = r.fresh()
 		case !simultaneous:
 			out[k].Suspect = r.Age < SoundAge
 		}
-		explained := r.fresh() && fresh == 1 || !r.AgeKnown && sole
+		explained := r.fresh() && fresh == 0 && unanswered == 1 || !r.AgeKnown && sole
 		if out[k].Suspect && (r.Started || explained && !simultaneous) {
 			out[k].Counts, out[k].GiveUp = true, r.givenUp(r.Crashes+1, fresh, sole)
 		}
@@ -83,14 +86,15 @@
 func (r Run) fresh() bool { return r.AgeKnown && r.Age < StartWindow }
 
 // givenUp reports whether the task of a suspect is to be given up after its
-// crashes, given the number of fresh runs, and whether no other suspect was on the
-// worker.
+// crashes, given the number of fresh runs that are known to have started, and whether
+// no other suspect was on the worker. Two crashes are enough only if the task's run is
+// among these.
 func (r Run) givenUp(crashes, fresh int, sole bool) bool {
 	switch crashes {
 	case 1:
 		return false
 	case 2:
-		return r.fresh() && fresh == 1
+		return r.Started && r.fresh() && fresh == 1
 	case 3:
 		return r.fresh() || sole
 	}
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -156,9 +156,10 @@
 	// Failures counts the calls in a row that the worker didn't answer or refused
 	// as unhealthy.
 	Failures int
-	// SilentSince is when the worker stopped answering, as far as is known, zero
-	// while it answers.
-	SilentSince time.Time
+	// AnsweredAt is when the worker last answered. SilentSince is the earliest time at
+	// which it may have stopped after that, SilentBy the latest, both zero while it
+	// answers.
+	AnsweredAt, SilentSince, SilentBy time.Time
 	// ExchangeInFlight is set while an exchange is in flight. NextExchangeAt is when the next one is
 	// due.
 	ExchangeInFlight bool
@@ -230,6 +231,28 @@
 // LeaseEnd returns when every lease granted so far has ended by the slowest clock.
 func (h *Host) LeaseEnd() time.Time { return h.leaseEnd }
 
+// Answered notes an answer of the worker. The answer of a new life counts only once the
+// runs of the earlier one are settled.
+func (h *Host) Answered(at time.Time) {
+	h.AnsweredAt, h.SilentSince, h.SilentBy = at, time.Time{}, time.Time{}
+}
+
+// Silent notes that the worker stopped answering at some time from since to by, and
+// reports whether that changes SilentSince.
+func (h *Host) Silent(since, by time.Time) bool {
+	if h.SilentBy.IsZero() || by.Before(h.SilentBy) {
+		h.SilentBy = by
+	}
+	if since.Before(h.AnsweredAt) {
+		since = h.AnsweredAt
+	}
+	if !h.SilentSince.IsZero() && !since.Before(h.SilentSince) {
+		return false
+	}
+	h.SilentSince = since
+	return true
+}
+
 // Read takes the worker's clock and life from an answer that was sent and received
 // at the given times. It returns false if the answer is of an earlier life and is
 // to be ignored. If the answer is of a later life, that life begins.
