Count the crashes that only a successor of the planner learns of

What callers saw: a task that crashes its workers went on doing so for as long as the planners changed (BUDGET): the crash is proven some seconds later, when the worker is back, and by then another planner had taken over.

Cause: what a crash is judged by, when a run started and when its worker fell silent, was in the memory of the planner that saw it. A successor knew of no run whether it had started, so that a crash was shared by all runs on the worker and counted against none of them. The class of fault: evidence that is needed after a hand-over and isn't recorded.

Fix: - The record of a run has the time at which it was placed (CellRun.placed, 2 to 4 bytes). The crashed worker got no run much later than the crash, so its last placements, within the time that a planner takes to notice a crash, are the runs that may have caused it. Each of them counts; older ones aren't suspects any more. - Such a count is less sure, since a recorded start may not have been sent. The record has how many crashes of a task are of this kind (CellTask.unsure_crashes). Two crashes give a task up only if both are sure, three if one is; four always do. - A worker that this planner has never reached fell silent at an unknown time, so it isn't held to have ended at the same time as others. - The counts are recorded with the placement of the next run, before its start is sent. Records of earlier versions are read as before; their runs count as just placed.

Failed attempts: counting a successor's crash only if a single run had been placed last still broke the test, since four to five runs are placed within that time.

Remains: a run that was given up with its lease, before its worker was back, counts for nothing, as does one on a worker whose entry was removed before the successor read the list.

--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -28,6 +28,9 @@
 	// crash.StartWindow, so that a task which crashes its worker somewhat later is
 	// still the only one in doubt.
 	isolationTime = time.Second
+	// crashNoticeTime is how long a planner may go on placing runs on a worker that has
+	// crashed: until an exchange to which the worker may wait has timed out.
+	crashNoticeTime = exchangeWait + 900*time.Millisecond
 	// maxSeparationWait is how long a suspect waits for a worker where nothing has
 	// started just before. Longer waits would be seen by its caller.
 	maxSeparationWait = 1500 * time.Millisecond
@@ -107,7 +110,7 @@
 	for k, r := range runs {
 		facts[k] = r.Run
 	}
-	simultaneous := p.simultaneous(h.ID, at)
+	simultaneous := !h.AnsweredAt.IsZero() && p.simultaneous(h.ID, at) // else the time of the crash isn't known
 	p.options.Log.Info("workerCrashed", zap.String("worker", string(h.ID)), zap.Int("runs", len(runs)),
 		zap.Bool("simultaneous", simultaneous), zap.Duration("ago", now.Sub(at)))
 	p.stats.Crashes++
@@ -123,6 +126,7 @@
 func (p *Planner) crashedRuns(at time.Time, h *hosts.Host, slots []*hosts.Slot) []crashedRun {
 	var out []crashedRun
 	seen := map[sched.TaskRef]bool{}
+	newest := newestPlacement(slots)
 	for _, s := range slots {
 		j := p.jobs[s.Task.Job]
 		if j == nil || s.Phase == hosts.Recorded || j.State.Final() || orderedTooLate(h, s) {
@@ -134,18 +138,33 @@
 			continue
 		}
 		seen[r.task] = true
-		r.Suspect, r.Crashes, r.Started = t.Suspect, t.Crashes, !s.StartedAt.IsZero()
+		r.Suspect, r.Crashes, r.UnsureCrashes, r.Started = t.Suspect, t.Crashes, t.UnsureCrashes, !s.StartedAt.IsZero()
 		switch {
 		case !s.OrderedAt.IsZero():
 			r.Age, r.AgeKnown = max(0, at.Sub(s.OrderedAt)), true
 		case !s.StartedAt.IsZero():
 			r.Age = max(0, at.Sub(s.StartedAt))
+		case !s.PlacedAt.IsZero():
+			r.Age = max(0, newest.Add(-crashNoticeTime).Sub(s.PlacedAt))
 		}
 		out = append(out, r)
 	}
 	return out
 }
 
+// newestPlacement returns when the last of the runs was placed. A planner that has
+// taken over knows no more of when the worker crashed: its predecessor placed none
+// there later than crashNoticeTime after the crash.
+func newestPlacement(slots []*hosts.Slot) time.Time {
+	var newest time.Time
+	for _, s := range slots {
+		if s.PlacedAt.After(newest) {
+			newest = s.PlacedAt
+		}
+	}
+	return newest
+}
+
 // orderedTooLate reports whether the start order of a run was sent when the worker had
 // stopped answering, so that the run has never started.
 func orderedTooLate(h *hosts.Host, s *hosts.Slot) bool {
@@ -159,6 +178,9 @@
 	t.Suspect = true
 	if v.Counts {
 		t.Crashes++
+		if !r.Started {
+			t.UnsureCrashes++
+		}
 	}
 	p.markDirty(r.job)
 	p.options.Log.Info("crashSuspect", zap.Stringer("task", r.task), zap.String("worker", string(h.ID)),
--- a/pkg/cell/crash_test.go
+++ b/pkg/cell/crash_test.go
@@ -336,3 +336,50 @@
 		}
 	})
 }
+
+// Guards against a task that crashes worker after worker because each planner that has seen its run start is replaced before the crash is known.
+func TestACrashThatOnlyASuccessorLearnsOfCounts(t *testing.T) {
+	const maxStarts = 5 // the third start after three crashes breaks the platform's rule
+	rows := []struct {
+		name   string
+		sameID bool
+		delay  time.Duration // from the crash to the hand-over
+	}{
+		{"another id has the address", false, 500 * time.Millisecond},
+		{"the same id", true, 500 * time.Millisecond},
+		{"the same id, just after the crash", true, 25 * time.Millisecond},
+		{"the same id, just before its return", true, 3 * time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			f := newCrashingFleet(t, 6)
+			f.sameID = row.sameID
+			f.crashes = func(r sched.TaskRef) (time.Duration, bool) { return 10 * time.Millisecond, r.Job == "bad" }
+			f.advance(time.Second)
+			good := step()
+			good.Tasks = 4
+			seen := 0
+			bad := sched.TaskRef{Job: "bad"}
+			for k := range 600 {
+				if k%4 == 0 && k < 300 {
+					f.submit(job(fmt.Sprint("good", k), good))
+				}
+				if k == 30 {
+					f.submit(job("bad", step()))
+				}
+				f.advance(100 * time.Millisecond)
+				if n := f.crashed[bad]; n > seen {
+					seen = n
+					f.advance(row.delay)
+					f.handOver()
+				}
+			}
+			i.Equal(f.state("bad"), sched.JobFailed)
+			i.True(f.started[bad] <= maxStarts)
+			for k := 0; k < 300; k += 4 {
+				i.Equal(f.state(fmt.Sprint("good", k)), sched.JobCompleted)
+			}
+		})
+	}
+}
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -217,7 +217,7 @@
 // start order is sent once the placement is durable.
 func (p *Planner) placeTask(now time.Time, w *waitingStep, index int, h *hosts.Host, n sched.RunNumber) *hosts.Slot {
 	j := w.job
-	w.occurrence.Steps[w.step].Tasks[index].AddRun(n, h.ID, h.NewestIncarnation())
+	w.occurrence.Steps[w.step].Tasks[index].AddRun(n, h.ID, h.NewestIncarnation(), now)
 	key := hosts.Key{Task: w.taskRef(index), Run: n}
 	slot := j.newSlot(key)
 	slot.PlacedAt, slot.Incarnation = now, h.NewestIncarnation()
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -251,6 +251,7 @@
 			key := hosts.Key{Task: sched.TaskRef{Job: j.ID, Occurrence: o.Number, Step: s, Index: k}, Run: r.Number}
 			slot := j.newSlot(key)
 			slot.Phase, slot.Pace, slot.Incarnation = hosts.Unsure, unknownPace, r.Incarnation
+			slot.PlacedAt = r.PlacedAt
 			h.Add(slot)
 		}
 		if o.Steps[s].Open && !t.Done && len(t.Runs) == 0 && !j.State.Final() {
--- a/pkg/codec/cell.go
+++ b/pkg/codec/cell.go
@@ -192,10 +192,17 @@
 		}
 		return k
 	}
+	runMessage := func(r jobs.Run) *pb.CellRun {
+		x := &pb.CellRun{Number: uint32(r.Number), Worker: workerIndex(r)}
+		if !r.PlacedAt.IsZero() {
+			x.Placed = uint64(max(0, r.PlacedAt.UnixMilli()-j.SubmittedAt.UnixMilli())) + 1
+		}
+		return x
+	}
 	for _, o := range j.Occurrences {
 		x := &pb.CellOccurrence{Number: uint32(o.Number)}
 		for s := range o.Steps {
-			x.Steps = append(x.Steps, stepProgress(o.Steps[s].Tasks, workerIndex))
+			x.Steps = append(x.Steps, stepProgress(o.Steps[s].Tasks, runMessage))
 		}
 		m.Occurrences = append(m.Occurrences, x)
 	}
@@ -205,7 +212,7 @@
 // stepProgress converts the tasks of one step. Done tasks are a bit set; the other
 // fields are included only for tasks that were started and are not done, or that
 // still have runs.
-func stepProgress(tasks []jobs.Task, workerIndex func(jobs.Run) uint32) *pb.CellStepProgress {
+func stepProgress(tasks []jobs.Task, runMessage func(jobs.Run) *pb.CellRun) *pb.CellStepProgress {
 	const bits = 8
 	m := &pb.CellStepProgress{}
 	for k := range tasks {
@@ -220,9 +227,9 @@
 			continue
 		}
 		x := &pb.CellTask{Index: uint32(k), Last: uint32(t.LastRun), Failures: uint32(t.Failures), Saved: string(t.Checkpoint)}
-		x.Suspect, x.Crashes = t.Suspect, uint32(t.Crashes)
+		x.Suspect, x.Crashes, x.UnsureCrashes = t.Suspect, uint32(t.Crashes), uint32(t.UnsureCrashes)
 		for _, r := range t.Runs {
-			x.Runs = append(x.Runs, &pb.CellRun{Number: uint32(r.Number), Worker: workerIndex(r)})
+			x.Runs = append(x.Runs, runMessage(r))
 		}
 		m.Tasks = append(m.Tasks, x)
 	}
@@ -250,7 +257,7 @@
 		}
 		o := j.RestoreOccurrence(int(x.GetNumber()))
 		for s, p := range x.GetSteps() {
-			if err := restoreStep(o.Steps[s].Tasks, p, m); err != nil {
+			if err := restoreStep(o.Steps[s].Tasks, p, m, j.SubmittedAt); err != nil {
 				return fmt.Errorf("decode progress of job %s: %w", j.ID, err)
 			}
 		}
@@ -259,8 +266,9 @@
 	return nil
 }
 
-// restoreStep is the inverse of stepProgress.
-func restoreStep(tasks []jobs.Task, p *pb.CellStepProgress, m *pb.CellProgress) error {
+// restoreStep is the inverse of stepProgress, for a job that was submitted at the given
+// time.
+func restoreStep(tasks []jobs.Task, p *pb.CellStepProgress, m *pb.CellProgress, submittedAt time.Time) error {
 	const bits = 8
 	for k := range tasks {
 		tasks[k].Done = k/bits < len(p.GetDone()) && p.GetDone()[k/bits]&(1<<(k%bits)) != 0
@@ -272,7 +280,7 @@
 		t := &tasks[x.GetIndex()]
 		t.LastRun, t.Failures = sched.RunNumber(x.GetLast()), int(x.GetFailures())
 		t.Checkpoint = sched.CheckpointID(x.GetSaved())
-		t.Suspect, t.Crashes = x.GetSuspect(), int(x.GetCrashes())
+		t.Suspect, t.Crashes, t.UnsureCrashes = x.GetSuspect(), int(x.GetCrashes()), int(x.GetUnsureCrashes())
 		for _, r := range x.GetRuns() {
 			k := int(r.GetWorker())
 			if k >= len(m.GetWorkers()) {
@@ -282,6 +290,9 @@
 			if k < len(m.GetIncarnations()) {
 				run.Incarnation = m.GetIncarnations()[k]
 			}
+			if r.GetPlaced() > 0 {
+				run.PlacedAt = submittedAt.Add(fromMillis(r.GetPlaced() - 1))
+			}
 			t.Runs = append(t.Runs, run)
 		}
 	}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -25,9 +25,10 @@
 	// order may have been lost, or the order may have come too late.
 	Started bool
 	// Suspect is set if the task was a suspect before, and Crashes is the number of
-	// crashes that counted against it.
-	Suspect bool
-	Crashes int
+	// crashes that counted against it. In UnsureCrashes of them its run wasn't known to
+	// have started.
+	Suspect                bool
+	Crashes, UnsureCrashes int
 }
 
 // Verdict says what a crash means for the task of one run.
@@ -46,23 +47,34 @@
 // crash at the same time as those of other workers has
 // a cause outside, unless a run had just started.
 //
-// A run that isn't known to have started counts as started if nothing else explains
+// If a planner has taken over before it reached the worker, it doesn't know when the
+// crash was and which runs had started. Then each run that may have started just
+// before counts, since its task would otherwise be started without end by planners that
+// end too.
+//
+// Any other run that isn't known to have started counts as started if nothing else explains
 // the crash. A single crash never gives a task up, since the tasks that started just before
 // it share the suspicion. The caller separates suspects, so that a second crash
 // tells which one it was.
 func Judge(runs []Run, simultaneous bool) []Verdict {
-	fresh, unanswered, suspects := 0, 0, 0
+	fresh, unanswered, inherited, started, suspects := 0, 0, 0, 0, 0
 	for _, r := range runs {
 		switch {
 		case r.fresh() && r.Started:
 			fresh++
 		case r.fresh():
 			unanswered++
+		case r.inherited():
+			inherited++
+		}
+		if r.Started {
+			started++
 		}
 		if r.Suspect {
 			suspects++
 		}
 	}
+	handedOver := inherited > 0 && started+unanswered == 0
 	out := make([]Verdict, len(runs))
 	for k, r := range runs {
 		sole := len(runs) == 1 || r.Suspect && suspects == 1
@@ -71,10 +83,12 @@
 			out[k].Suspect = r.Age < SoundAge
 		case fresh+unanswered > 0:
 			out[k].Suspect = r.fresh()
+		case handedOver:
+			out[k].Suspect = r.inherited()
 		case !simultaneous:
 			out[k].Suspect = r.Age < SoundAge
 		}
-		explained := r.fresh() && fresh == 0 && unanswered == 1 || !r.AgeKnown && sole
+		explained := r.fresh() && fresh == 0 && unanswered == 1 || !r.AgeKnown && sole || handedOver && r.inherited()
 		if out[k].Suspect && (r.Started || explained && !simultaneous) {
 			out[k].Counts, out[k].GiveUp = true, r.givenUp(r.Crashes+1, fresh, sole)
 		}
@@ -85,18 +99,26 @@
 // fresh reports whether the run had started just before the crash.
 func (r Run) fresh() bool { return r.AgeKnown && r.Age < StartWindow }
 
+// inherited reports whether the run of an earlier planner may have started just before
+// the crash.
+func (r Run) inherited() bool { return !r.Started && !r.AgeKnown && r.Age < StartWindow }
+
 // givenUp reports whether the task of a suspect is to be given up after its
 // crashes, given the number of fresh runs that are known to have started, and whether
-// no other suspect was on the worker. Two crashes are enough only if the task's run is
-// among these.
+// no other suspect was on the worker. Two crashes are enough only if the task is known to
+// have run in both, three if in one of them.
 func (r Run) givenUp(crashes, fresh int, sole bool) bool {
+	sure := crashes - r.UnsureCrashes
+	if !r.Started {
+		sure--
+	}
 	switch crashes {
 	case 1:
 		return false
 	case 2:
-		return r.Started && r.fresh() && fresh == 1
+		return sure == crashes && r.fresh() && fresh == 1
 	case 3:
-		return r.fresh() || sole
+		return sure > 0 && (r.fresh() || sole)
 	}
 	return crashes >= maxCrashes
 }
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -23,6 +23,11 @@
 		return crash.Run{Age: 4 * time.Second, AgeKnown: true, Started: true, Suspect: crashes > 0, Crashes: crashes}
 	}
 	unknown := func(crashes int) crash.Run { return crash.Run{Suspect: crashes > 0, Crashes: crashes} }
+	unsure := func(r crash.Run, crashes int) crash.Run {
+		r.UnsureCrashes = crashes
+		return r
+	}
+	inheritedOld := crash.Run{Age: 5 * time.Second}
 	sound := crash.Run{Age: time.Minute}
 	doubtful, suspect := crash.Verdict{Suspect: true}, crash.Verdict{Suspect: true, Counts: true}
 	giveUp := crash.Verdict{Suspect: true, Counts: true, GiveUp: true}
@@ -46,6 +51,15 @@
 		{"fourth crash beside another suspect", []crash.Run{old(3), old(1)}, false, []crash.Verdict{giveUp, suspect}},
 		{"start by an earlier planner", []crash.Run{unknown(0), old(0)}, false, []crash.Verdict{doubtful, suspect}},
 		{"start of a suspect by an earlier planner", []crash.Run{unknown(1), sound}, false, []crash.Verdict{suspect, {}}},
+		{"last start by an earlier planner", []crash.Run{unknown(0), inheritedOld}, false, []crash.Verdict{suspect, {}}},
+		{"last starts by an earlier planner", []crash.Run{unknown(0), unknown(1), inheritedOld}, false, []crash.Verdict{suspect, suspect, {}}},
+		{"third crash, the last start by an earlier planner", []crash.Run{unknown(2), unknown(0)}, false, []crash.Verdict{giveUp, suspect}},
+		{"third crash, among the last starts of suspects", []crash.Run{unknown(2), unknown(1)}, false, []crash.Verdict{suspect, suspect}},
+		{"fourth crash, among the last starts by an earlier planner", []crash.Run{unknown(3), unknown(1)}, false, []crash.Verdict{giveUp, suspect}},
+		{"second crash, the first one after a start by an earlier planner", []crash.Run{unsure(fresh(1), 1)}, false, []crash.Verdict{suspect}},
+		{"third crash, two after starts by an earlier planner", []crash.Run{unsure(fresh(2), 2)}, false, []crash.Verdict{giveUp}},
+		{"third crash, all after starts by an earlier planner", []crash.Run{unsure(unknown(2), 2)}, false, []crash.Verdict{suspect}},
+		{"fourth crash, all after starts by an earlier planner", []crash.Run{unsure(unknown(3), 3)}, false, []crash.Verdict{giveUp}},
 		{"start without an answer beside a fresh run", []crash.Run{unanswered(1), fresh(0)}, false, []crash.Verdict{doubtful, suspect}},
 		{"second crash shared with a start without an answer", []crash.Run{fresh(1), unanswered(0)}, false, []crash.Verdict{giveUp, doubtful}},
 		{"start without an answer", []crash.Run{unanswered(1), old(0)}, false, []crash.Verdict{suspect, {}}},
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -65,7 +65,7 @@
 	// Incarnation is that of the worker on which the run is, 0 if unknown. The run
 	// ended with it once the worker has a later one, unless that one reports it.
 	Incarnation int64
-	// PlacedAt is when the run was placed, zero if an earlier planner placed it.
+	// PlacedAt is when the run was placed, zero if unknown.
 	// OrderedAt is when the start order was sent, zero if this planner sent none.
 	// StartedAt is when this planner first knew that the run had started.
 	PlacedAt, OrderedAt, StartedAt time.Time
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -55,6 +55,8 @@
 	// first member.
 	Suspect bool
 	Crashes int
+	// UnsureCrashes counts those of Crashes where the run wasn't known to have started.
+	UnsureCrashes int
 	// Checkpoint is the checkpoint that the next run resumes from, empty if there is
 	// none.
 	Checkpoint sched.CheckpointID
@@ -69,6 +71,8 @@
 	Worker sched.InstanceID
 	// Incarnation is that of the worker when the run was placed, 0 if unknown.
 	Incarnation int64
+	// PlacedAt is when the run was placed, zero if unknown.
+	PlacedAt time.Time
 }
 
 // New returns the state of a job that was just accepted.
@@ -167,11 +171,11 @@
 	return &o.Steps[r.Step].Tasks[r.Index]
 }
 
-// AddRun adds a run with the given number on a worker in its present incarnation. All
-// members of a gang share one number.
-func (t *Task) AddRun(n sched.RunNumber, w sched.InstanceID, incarnation int64) Run {
+// AddRun adds a run with the given number, placed on a worker in its present
+// incarnation. All members of a gang share one number.
+func (t *Task) AddRun(n sched.RunNumber, w sched.InstanceID, incarnation int64, placedAt time.Time) Run {
 	t.LastRun = n
-	r := Run{Number: n, Worker: w, Incarnation: incarnation}
+	r := Run{Number: n, Worker: w, Incarnation: incarnation, PlacedAt: placedAt}
 	t.Runs = append(t.Runs, r)
 	return r
 }
