--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,9 @@
 	// crash.StartWindow, so that a task which crashes its worker somewhat later is
 	// still the only one in doubt.
 	isolationTime = time.Second
+	// crashNoticeTime is how long a planner may go on placing runs on a worker that has
+	// crashed: until an exchange to which the worker may wait has timed out.
+	crashNoticeTime = exchangeWait + 900*time.Millisecond
 	// maxSeparationWait is how long a suspect waits for a worker where nothing has
 	// started just before. Longer waits would be seen by its caller.
 	maxSeparationWait = 1500 * time.Millisecond
@@ -38,20 +42,26 @@
 	at     time.Time
 }
 
-// noteSilence notes that a worker didn't answer a call, unless it was silent before.
-// A call that timed out tells only that the worker was silent at some time since it
-// was sent, and that of a worker which this planner hasn't reached yet tells nothing.
-func (p *Planner) noteSilence(h *hosts.Host, r Result) {
-	if r.Err == nil || !h.SilentSince.IsZero() || !h.RunsKnown {
+// noteSilence notes that a worker didn't answer a call, to which it may wait for the
+// given time before it answers. A call that broke off tells when it did. One that timed
+// out tells only that the worker was silent when it should have answered, and perhaps
+// before; the first of several such calls counts, whichever times out first. A call of
+// a worker that this planner hasn't reached yet tells nothing.
+func (p *Planner) noteSilence(h *hosts.Host, r Result, wait time.Duration) {
+	if r.Err == nil || !h.RunsKnown {
 		return
 	}
-	h.SilentSince = r.Received
+	since, by := r.Received, r.Received
 	if errors.Is(r.Err, context.DeadlineExceeded) {
-		h.SilentSince = r.Sent
+		since, by = r.Sent, r.Sent.Add(wait)
 	}
-	for len(p.silences) > 0 && r.Received.Sub(p.silences[0].at) > silenceRetention {
-		p.silences = p.silences[1:]
+	before := h.SilentSince
+	if !h.Silent(since, by) {
+		return
 	}
+	p.silences = slices.DeleteFunc(p.silences, func(s silence) bool {
+		return r.Received.Sub(s.at) > silenceRetention || s == silence{h.ID, before}
+	})
 	p.silences = append(p.silences, silence{h.ID, h.SilentSince})
 }
 
@@ -95,12 +105,12 @@
 	if at.IsZero() {
 		at = now
 	}
-	runs := p.crashedRuns(at, slots)
+	runs := p.crashedRuns(at, h, slots)
 	facts := make([]crash.Run, len(runs))
 	for k, r := range runs {
 		facts[k] = r.Run
 	}
-	simultaneous := p.simultaneous(h.ID, at)
+	simultaneous := !h.AnsweredAt.IsZero() && p.simultaneous(h.ID, at) // else the time of the crash isn't known
 	p.options.Log.Info("workerCrashed", zap.String("worker", string(h.ID)), zap.Int("runs", len(runs)),
 		zap.Bool("simultaneous", simultaneous), zap.Duration("ago", now.Sub(at)))
 	p.stats.Crashes++
@@ -113,12 +123,13 @@
 
 // crashedRuns returns the started runs among the slots, the members of a gang as one,
 // with their ages at the given time.
-func (p *Planner) crashedRuns(at time.Time, slots []*hosts.Slot) []crashedRun {
+func (p *Planner) crashedRuns(at time.Time, h *hosts.Host, slots []*hosts.Slot) []crashedRun {
 	var out []crashedRun
 	seen := map[sched.TaskRef]bool{}
+	newest := newestPlacement(slots)
 	for _, s := range slots {
 		j := p.jobs[s.Task.Job]
-		if j == nil || s.Phase == hosts.Recorded || j.State.Final() {
+		if j == nil || s.Phase == hosts.Recorded || j.State.Final() || orderedTooLate(h, s) {
 			continue
 		}
 		r := crashedRun{job: j, task: crashUnit(j, s.Task)}
@@ -127,18 +138,39 @@
 			continue
 		}
 		seen[r.task] = true
-		r.Suspect, r.Crashes, r.Started = t.Suspect, t.Crashes, !s.StartedAt.IsZero()
+		r.Suspect, r.Crashes, r.UnsureCrashes, r.Started = t.Suspect, t.Crashes, t.UnsureCrashes, !s.StartedAt.IsZero()
 		switch {
 		case !s.OrderedAt.IsZero():
 			r.Age, r.AgeKnown = max(0, at.Sub(s.OrderedAt)), true
 		case !s.StartedAt.IsZero():
 			r.Age = max(0, at.Sub(s.StartedAt))
+		case !s.PlacedAt.IsZero():
+			r.Age = max(0, newest.Add(-crashNoticeTime).Sub(s.PlacedAt))
 		}
 		out = append(out, r)
 	}
 	return out
 }
 
+// newestPlacement returns when the last of the runs was placed. A planner that has
+// taken over knows no more of when the worker crashed: its predecessor placed none
+// there later than crashNoticeTime after the crash.
+func newestPlacement(slots []*hosts.Slot) time.Time {
+	var newest time.Time
+	for _, s := range slots {
+		if s.PlacedAt.After(newest) {
+			newest = s.PlacedAt
+		}
+	}
+	return newest
+}
+
+// orderedTooLate reports whether the start order of a run was sent when the worker had
+// stopped answering, so that the run has never started.
+func orderedTooLate(h *hosts.Host, s *hosts.Slot) bool {
+	return s.StartedAt.IsZero() && !h.SilentBy.IsZero() && s.OrderedAt.After(h.SilentBy)
+}
+
 // suspectTask counts a crash for a task that may have caused it, and ends its job
 // as failed if the task is to be given up.
 func (p *Planner) suspectTask(now time.Time, h *hosts.Host, r crashedRun, v crash.Verdict) {
@@ -146,6 +178,9 @@
 	t.Suspect = true
 	if v.Counts {
 		t.Crashes++
+		if !r.Started {
+			t.UnsureCrashes++
+		}
 	}
 	p.markDirty(r.job)
 	p.options.Log.Info("crashSuspect", zap.Stringer("task", r.task), zap.String("worker", string(h.ID)),
--- a/pkg/cell/record_test.go
+++ b/pkg/cell/record_test.go
@@ -83,10 +83,10 @@
 			for _, s := range full.Occurrences[0].Steps {
 				for k := range s.Tasks {
 					t := &s.Tasks[k]
-					t.Failures, t.Suspect, t.Crashes, t.Checkpoint = 3, true, 3, sched.CheckpointID(row.checkpoint)
+					t.Failures, t.Suspect, t.Crashes, t.UnsureCrashes, t.Checkpoint = 3, true, 3, 3, sched.CheckpointID(row.checkpoint)
 					for n := range 2 {
 						runs++
-						t.AddRun(sched.RunNumber(500+n), sched.InstanceID(fmt.Sprintf("i-%016x", runs)), epoch.UnixMilli())
+						t.AddRun(sched.RunNumber(500+n), sched.InstanceID(fmt.Sprintf("i-%016x", runs)), epoch.UnixMilli(), epoch.Add(time.Hour))
 					}
 				}
 			}
