Count the crash of a worker that is away for longer than its lease

What callers saw: a task that crashes the workers that start it was started on one worker after the other, without end, if each of them was away for longer than its lease, which is about 6 s.

Cause: the lease of a silent worker ended before the proof that it had restarted. The planner dropped its runs then and kept them only for ends that come late. The first answer of the new incarnation cleared them, and so did the removal of the worker from the list. The class of fault: a fact is judged from a state that has been given up before the proof can come.

Change: runs that were given up with their lease stay until an answer shows how they ended. An answer of the same incarnation shows that the worker was only silent; one of a new incarnation, or of another worker at the address, shows that they ended with it, and they are judged together with the other runs of the worker. A run whose end is listed late, or which the new incarnation lists, isn't counted.

The row "silent until its lease has ended" of TestTheEndOfAWorkerThatIsNoCrashIsHeldAgainstNoTask let the worker come back in a new incarnation and asserted that this is no crash, which is the fault. It now comes back in the same incarnation and mustn't count. TestAWorkerThatIsBackAfterItsLeaseHasCrashedIfItHasRestarted has both cases, and the worker that is unlisted meanwhile, that has another id, or that restarts later.

Evidence: before, TestACrashOfAWorkerThatIsAwayForLongerThanItsLeaseCounts failed for downtimes of 7 to 12 s under both kinds of id, and four rows of the other new test failed; both pass now, with at most 4 crashes for each downtime of 3 to 12 s.

--- a/pkg/cell/crash_test.go
+++ b/pkg/cell/crash_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -22,9 +23,11 @@
 	// crashes reports whether a task crashes its worker, and how long after its start.
 	crashes func(sched.TaskRef) (time.Duration, bool)
 	// sameID makes workers come back under their ids, else another id has the address.
-	sameID  bool
-	workers []*fleetWorker
-	added   int
+	sameID bool
+	// downtime is how long a crashed worker is away, downTime if it is 0.
+	downtime time.Duration
+	workers  []*fleetWorker
+	added    int
 	// started counts the starts of each task, crashed the crashes under it.
 	started, crashed map[sched.TaskRef]int
 	// beside is the largest number of runs that a crash of a suspect ended besides.
@@ -110,7 +113,7 @@
 	f.crashed[k.Task]++
 	f.history = append(f.history, fmt.Sprintf("%v %v run %d on %s", f.now.Sub(epoch), k.Task, k.Run, w.ID))
 	w.runs, w.ends, w.lastEnd = map[hosts.Key]time.Time{}, nil, 0
-	w.downUntil = f.now.Add(downTime)
+	w.downUntil = f.now.Add(cmp.Or(f.downtime, downTime))
 }
 
 func (f *crashingFleet) comeBack(w *fleetWorker) {
@@ -276,8 +279,10 @@
 			f.advance(100 * time.Millisecond)
 			w.runs, w.downUntil = map[hosts.Key]time.Time{}, f.now.Add(downTime)
 		}},
-		{"silent until its lease has ended", func(f *crashingFleet, w *fleetWorker) {
-			w.runs, w.downUntil = map[hosts.Key]time.Time{}, f.now.Add(20*time.Second)
+		{"silent until its lease has ended, and back", func(f *crashingFleet, w *fleetWorker) {
+			w.downUntil = f.now.Add(time.Hour)
+			f.advance(20 * time.Second)
+			w.runs, w.downUntil = map[hosts.Key]time.Time{}, time.Time{}
 		}},
 	}
 	for _, row := range rows {
@@ -299,6 +304,78 @@
 	}
 }
 
+// Guards against a task that crashes worker after worker, since each is back only after
+// the task has been given up with its lease.
+func TestACrashOfAWorkerThatIsAwayForLongerThanItsLeaseCounts(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		for down := 3 * time.Second; down <= 12*time.Second; down += time.Second {
+			t.Run(fmt.Sprintf("sameID=%v %v", sameID, down), func(t *testing.T) {
+				i := is.New(t)
+				f := newCrashingFleet(t, 12)
+				f.sameID, f.downtime = sameID, down
+				f.crashes = func(r sched.TaskRef) (time.Duration, bool) { return 10 * time.Millisecond, r.Job == "bad" }
+				f.advance(time.Second)
+				f.submit(job("good", step()))
+				f.submit(job("bad", step()))
+				f.advance(90 * time.Second)
+				i.Equal(f.state("bad"), sched.JobFailed)
+				i.Equal(f.state("good"), sched.JobCompleted)
+				i.True(f.crashed[sched.TaskRef{Job: "bad"}] <= 4)
+			})
+		}
+	}
+}
+
+// Guards against a crash that isn't counted, or a silence that is, when the worker is
+// back after the lease of its runs.
+func TestAWorkerThatIsBackAfterItsLeaseHasCrashedIfItHasRestarted(t *testing.T) {
+	rows := []struct {
+		name    string
+		back    func(*crashingFleet, *fleetWorker)
+		crashes int64
+	}{
+		{"in the same incarnation", func(*crashingFleet, *fleetWorker) {}, 0},
+		{"in a new incarnation", func(f *crashingFleet, w *fleetWorker) {
+			w.Incarnation = f.now.UnixMilli()
+			f.planner.Listed(f.now, w.Worker)
+		}, 1},
+		{"in a new incarnation that the list doesn't have yet", func(f *crashingFleet, w *fleetWorker) {
+			w.Incarnation = f.now.UnixMilli()
+		}, 1},
+		{"in a new incarnation, unlisted meanwhile", func(f *crashingFleet, w *fleetWorker) {
+			f.planner.Unlisted(f.now, w.ID)
+			f.advance(10 * time.Second)
+			w.Incarnation = f.now.UnixMilli()
+			f.planner.Listed(f.now, w.Worker)
+		}, 1},
+		{"in the same incarnation, and restarted later", func(f *crashingFleet, w *fleetWorker) {
+			w.downUntil = time.Time{}
+			f.advance(time.Second)
+			w.Incarnation = f.now.UnixMilli()
+			f.planner.Listed(f.now, w.Worker)
+		}, 0},
+		{"under another id", func(f *crashingFleet, w *fleetWorker) { f.comeBack(w) }, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			f := newCrashingFleet(t, 2)
+			f.crashes = func(sched.TaskRef) (time.Duration, bool) { return 0, false }
+			f.advance(time.Second)
+			f.submit(job("a", step()))
+			f.advance(100 * time.Millisecond)
+			w := f.workers[slices.IndexFunc(f.workers, func(w *fleetWorker) bool { return len(w.runs) > 0 })]
+			w.runs, w.downUntil = map[hosts.Key]time.Time{}, f.now.Add(time.Hour)
+			f.advance(10 * time.Second)
+			row.back(f, w)
+			w.downUntil = time.Time{}
+			f.advance(10 * time.Second)
+			i.Equal(f.planner.Stats().Crashes, row.crashes)
+			i.Equal(f.state("a"), sched.JobCompleted)
+		})
+	}
+}
+
 // Guards against a task that crashes more workers than the platform allows, and against
 // an innocent job that is shown as failed, with several of them in any mix and with
 // hand-overs.
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -31,7 +31,7 @@
 		p.applyEnd(now, h, s, e)
 	}
 	if len(ended) < fullEndList {
-		clear(h.GivenUp)
+		forgetGivenUp(h)
 	}
 }
 
@@ -214,7 +214,7 @@
 	}
 	for id, h := range p.workers {
 		p.tickWorker(now, h)
-		if !h.Listed && len(h.Slots) == 0 && !h.ExchangeInFlight {
+		if mayDrop(now, h) {
 			p.droppedBumps = max(p.droppedBumps, h.Bumps())
 			delete(p.workers, id)
 			delete(p.fillerRooms, id)
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -164,7 +164,7 @@
 // earlier worker has ended, so all its runs are lost.
 func (p *Planner) workerReplaced(now time.Time, h *hosts.Host) {
 	p.options.Log.Info("workerReplaced", zap.String("worker", string(h.ID)), zap.Int("runs", len(h.Slots)))
-	p.workerCrashed(now, h, slices.Collect(maps.Values(h.Slots)))
+	p.workerCrashed(now, h, slices.AppendSeq(takeCrashed(h, nil), maps.Values(h.Slots)))
 	for _, s := range h.Slots {
 		p.loseRun(now, h, s, "replaced")
 	}
@@ -209,6 +209,9 @@
 			crashed = append(crashed, s)
 		}
 	}
+	if h.RunsKnown {
+		crashed = append(crashed, takeCrashed(h, listed)...)
+	}
 	p.workerCrashed(now, h, crashed)
 	for _, s := range gone {
 		p.loseRun(now, h, s, "notThere")
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -150,9 +150,10 @@
 	// Strays is the number of runs that the newest report lists and Slots doesn't
 	// have. What they need isn't known.
 	Strays int
-	// GivenUp holds the runs that were given up with their lease and whose ends may
-	// still be listed.
-	GivenUp map[Key]*Slot
+	// GivenUp holds the runs that were given up with their lease, until an answer shows
+	// how they ended. The last one was added at GivenUpAt.
+	GivenUp   map[Key]*Slot
+	GivenUpAt time.Time
 	// Failures counts the calls in a row that the worker didn't answer or refused
 	// as unhealthy.
 	Failures int
