Tell planners of the time-outs at their agents

A review showed that a planner with agents takes the end of a call that timed out for the time at which the worker stopped answering. That is up to a time-out too late, so a run that had just started looks older, and workers that end together look as if they hadn't.

Cause: an agent sends the failure of an order as text, so that the planner's errors.Is(err, context.DeadlineExceeded) never held for it. The class of fault: the kind of an error gets lost where it passes a process boundary.

Change: OrderResult has the field timed_out, from which the planner makes an error that wraps context.DeadlineExceeded besides ErrUncertain or ErrUnavailable. The result of an agent without the field is read as before.

Evidence: two rows of TestATimeOutAtTheAgentIsOneForThePlanner failed before and pass now; TestAFailureOfAnAgentThatSendsNoTimeOutsIsRead passes before and after. The emulated site of these tests has too few workers for agents, so its plays show nothing of this.

--- a/internal/process/agent/codec.go
+++ b/internal/process/agent/codec.go
@@ -98,7 +98,7 @@
 
 // resultMessage returns the result of the order with the id.
 func resultMessage(id uint64, a sched.LeaseAnswer, err error) *pb.OrderResult {
-	out := &pb.OrderResult{Id: id}
+	out := &pb.OrderResult{Id: id, TimedOut: errors.Is(err, context.DeadlineExceeded)}
 	switch {
 	case errors.Is(err, sched.ErrUnavailable):
 		out.Failure, out.Reason = hadNoEffect, err.Error()
@@ -121,15 +121,24 @@
 	return out
 }
 
+// failureOf returns the error in a result, which wraps kind, and
+// context.DeadlineExceeded after a time-out.
+func failureOf(kind error, m *pb.OrderResult) error {
+	if m.GetTimedOut() {
+		return fmt.Errorf("%w: agent: %s: %w", kind, m.GetReason(), context.DeadlineExceeded)
+	}
+	return fmt.Errorf("%w: agent: %s", kind, m.GetReason())
+}
+
 // decodeResult returns the answer or the error in a result. A refusal or an end
 // that isn't known counts as a lost answer.
 func decodeResult(m *pb.OrderResult) (sched.LeaseAnswer, error) {
 	switch m.GetFailure() {
 	case answered:
 	case hadNoEffect:
-		return sched.LeaseAnswer{}, fmt.Errorf("%w: agent: %s", sched.ErrUnavailable, m.GetReason())
+		return sched.LeaseAnswer{}, failureOf(sched.ErrUnavailable, m)
 	default:
-		return sched.LeaseAnswer{}, fmt.Errorf("%w: agent: %s", sched.ErrUncertain, m.GetReason())
+		return sched.LeaseAnswer{}, failureOf(sched.ErrUncertain, m)
 	}
 	if m.GetRefusal() > uint32(sched.RefusedIdentity) {
 		return sched.LeaseAnswer{}, fmt.Errorf("%w: agent: refusal %d", sched.ErrUncertain, m.GetRefusal())
--- a/internal/process/agent/codec_test.go
+++ b/internal/process/agent/codec_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -59,6 +63,44 @@
 	}
 }
 
+// Guards against a time-out at the agent that the planner takes for a failure just now,
+// and against any other failure that it takes for a time-out.
+func TestATimeOutAtTheAgentIsOneForThePlanner(t *testing.T) {
+	rows := []struct {
+		name     string
+		err      error
+		kind     error
+		timedOut bool
+	}{
+		{"no answer in time", fmt.Errorf("%w: %w", sched.ErrUncertain, context.DeadlineExceeded), sched.ErrUncertain, true},
+		{"no connection in time", fmt.Errorf("%w: %w", sched.ErrUnavailable, context.DeadlineExceeded), sched.ErrUnavailable, true},
+		{"answer lost", fmt.Errorf("%w: %w", sched.ErrUncertain, io.ErrUnexpectedEOF), sched.ErrUncertain, false},
+		{"refused", fmt.Errorf("%w: refused", sched.ErrUnavailable), sched.ErrUnavailable, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			data, err := proto.Marshal(resultMessage(1, sched.LeaseAnswer{}, row.err))
+			i.NoErr(err)
+			m := &pb.OrderResult{}
+			i.NoErr(proto.Unmarshal(data, m))
+			_, err = decodeResult(m)
+			i.True(errors.Is(err, row.kind))
+			i.Equal(errors.Is(err, context.DeadlineExceeded), row.timedOut)
+			i.True(strings.Contains(err.Error(), row.err.Error()))
+		})
+	}
+}
+
+// Guards against a failure at an agent of an earlier version that can't be read.
+func TestAFailureOfAnAgentThatSendsNoTimeOutsIsRead(t *testing.T) {
+	i := is.New(t)
+	_, err := decodeResult(&pb.OrderResult{Failure: effectUnknown, Reason: "context deadline exceeded"})
+	i.True(errors.Is(err, sched.ErrUncertain))
+	_, err = decodeResult(&pb.OrderResult{Failure: hadNoEffect, Reason: "not sent in time"})
+	i.True(errors.Is(err, sched.ErrUnavailable))
+}
+
 // Guards against a result that can't be read and is taken for an answer, such as an
 // unknown end that would count as a task that is done.
 func TestResultsThatCannotBeReadCountAsLostAnswers(t *testing.T) {
