--- a/internal/emu/audit/waiting_test.go
+++ b/internal/emu/audit/waiting_test.go
@@ -69,3 +69,49 @@
 		})
 	}
 }
+
+// Guards against an audit that overlooks runs which begin and end between two of its
+// checks, and against one that takes the run of one lasting task for that of another.
+func TestAShortRunInterruptsTheWaitOfItsJob(t *testing.T) {
+	began := time.Date(2026, 9, 8, 12, 0, 0, 0, time.UTC)
+	rows := []struct {
+		name    string
+		lasting bool
+		runAt   time.Duration
+		want    int
+	}{
+		{"in time", false, 2 * time.Second, 0},
+		{"too late", false, 3 * time.Second, 1},
+		{"of another lasting task", true, 2 * time.Second, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			j := sched.Job{ID: "j", Queue: sched.Queue{Service: "s", MaxAttempts: 3}, Steps: []sched.Step{
+				{Tasks: 2, Needs: sched.Resources{Processors: 1000}, Lasting: row.lasting},
+			}}
+			books := &book.Jobs{}
+			books.Add(book.JobTruth{Job: j})
+			a := &audit.Audit{Jobs: books}
+			w := &work.Worker{Worker: sched.Worker{ID: "w", Service: "s", Capacity: sched.Resources{Processors: 16000, Memory: 16 << 30}}}
+			w.Begin(began)
+			a.Submitting("j")
+			a.Submitted("j", sched.CodeAccepted)
+			k := work.RunKey{Task: sched.TaskRef{Job: "j", Index: 1}, Run: 1}
+			for d := time.Duration(0); d <= row.runAt+2500*time.Millisecond; d += 250 * time.Millisecond {
+				a.CheckWaiting(began.Add(d), []*work.Worker{w})
+				if d == row.runAt {
+					a.Began(began.Add(d+10*time.Millisecond), w, k, "", "")
+					a.Ended(began.Add(d+90*time.Millisecond), w, k, sched.EndFailed)
+				}
+			}
+			n := 0
+			for _, f := range a.Findings() {
+				if f.Rule == audit.Waiting {
+					n++
+				}
+			}
+			i.Equal(n, row.want)
+		})
+	}
+}
