Tell isolated workers from unusable ones in the log of waiting steps

What was seen: stepWaiting counted a worker that holds a suspect of a crash as `unusable`, like one that is silent or draining.

Change: `isolated` counts these workers. inService no longer includes the isolation; its callers ask for it, so that placement is as before.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -169,15 +169,18 @@
 }
 
 // usable reports whether tasks of the step may be placed on the worker, apart
-// from room: the worker is in service for the step and not suspected.
+// from room: the worker is in service for the step, not isolated and not suspected.
 func (p *Planner) usable(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
-	return p.inService(now, h, service, step) && !p.judge.Avoid(now, h.ID)
+	return p.inService(now, h, service, step) && !isolated(now, h) && !p.judge.Avoid(now, h.ID)
 }
 
 // trust reports whether tasks of a waiting step may be placed on the worker as far as
-// suspicion is concerned. An overdue step may use a suspected worker, and trust returns
-// the evidence against it, which is above 0.
+// suspicion is concerned. Nothing may be placed on an isolated one. An overdue step may
+// use a suspected worker, and trust returns the evidence against it, which is above 0.
 func (p *Planner) trust(now time.Time, w *waitingStep, h *hosts.Host) (float64, bool) {
+	if isolated(now, h) {
+		return 0, false
+	}
 	if !p.judge.Avoid(now, h.ID) {
 		return 0, true
 	}
@@ -205,12 +208,11 @@
 }
 
 // inService reports whether the worker is listed, in contact, not draining, of the
-// service and with the label of the step, has no runs of unknown needs, holds
-// no suspect of a crash that has to be alone, and hasn't just refused a start for lack
-// of room.
+// service and with the label of the step, has no runs of unknown needs, and hasn't just
+// refused a start for lack of room.
 func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
 	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
-		(step.Label == "" || slices.Contains(h.Labels, step.Label)) && !isolated(now, h)
+		(step.Label == "" || slices.Contains(h.Labels, step.Label))
 }
 
 // atTaskLimit reports whether the worker has as many tasks of the step as
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -30,10 +30,11 @@
 // obstacles counts the workers that don't take a task of a step, by the reason. The
 // first one that applies counts.
 type obstacles struct {
-	// unusable workers are not in service for the step, full ones lack room, suspected
-	// ones have room and are avoided, and those that are disturbed or slow have serving
-	// tasks that can't bear the filler, or leave it too few processors.
-	unusable, full, suspected, disturbed, slow int
+	// unusable workers are not in service for the step, isolated ones run a suspect of a
+	// crash that has to be alone, full ones lack room, suspected ones have room and are
+	// avoided, and those that are disturbed or slow have serving tasks that can't bear the
+	// filler, or leave it too few processors.
+	unusable, isolated, full, suspected, disturbed, slow int
 }
 
 // obstaclesOf returns what keeps the tasks of a waiting step off the workers.
@@ -44,6 +45,8 @@
 		switch {
 		case !p.inService(now, h, w.job.Queue.Service, step):
 			o.unusable++
+		case isolated(now, h):
+			o.isolated++
 		case !step.Counted().Fits(h.Free()) || p.atTaskLimit(w, step, h):
 			o.full++
 		case p.judge.Avoid(now, h.ID):
@@ -83,7 +86,7 @@
 	p.options.Log.Info("stepWaiting", zap.String("job", string(w.job.ID)),
 		zap.Int("occurrence", w.occurrence.Number), zap.Int("step", w.step), zap.Duration("waited", waited),
 		zap.Int("waiting", len(w.tasks)), zap.Int("class", int(w.claim.Class)), zap.Bool("filler", w.job.Steps[w.step].Filler),
-		zap.Int("workers", len(p.workers)), zap.Int("unusable", o.unusable), zap.Int("full", o.full),
+		zap.Int("workers", len(p.workers)), zap.Int("unusable", o.unusable), zap.Int("isolated", o.isolated), zap.Int("full", o.full),
 		zap.Int("suspected", o.suspected), zap.Int("disturbed", o.disturbed), zap.Int("slow", o.slow),
 		zap.Int("usedPercent", int(100*p.processorUse(w.job.Queue.Service))),
 		zap.Int("steps", len(p.waitingSteps)))
