Let fillers start throttled beside others that are

Cause: a filler whose step is overdue may start on a worker whose serving tasks can't bear it at full pace, but only if no throttled filler was there. So there was one such filler per worker at a time, and the next job waited for as long as that one took, which is long, since it is throttled. The class of fault: an exclusion meant as a preference that has no end in time.

Change: throttled fillers on a worker lower its score and no longer close it. A further one gets what those before it leave. So that a flood of them doesn't take the memory of others, a step counts as overdue while at most 60% of a service's processors and of its memory are in use (before, of its processors), counted anew after each such placement.

TestAFillerStartsThrottledBesideOthersThatAre started 2 of 5 jobs before and starts 5. TestThrottledFillersLeaveMemoryToOthers fails without the share of the memory.

TestATaskThatIsHeldUpIsCountedAndLogged relied on the fault for a step that waits. It now has a busy service, on which fillers wait until the serving tasks can bear them; its assertions are unchanged.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -78,8 +78,7 @@
 	}
 	c.score, fits = p.score(h, waitingStepRef(r.waitingStep), r.step)
 	if !fits && r.waitingStep.overdue {
-		c.score, fits = p.crowdedScore(h, r.step)
-		c.score, c.crowded = c.score-lastResortPenalty, true
+		c.score, c.crowded, fits = p.crowdedScore(h, r.step)-lastResortPenalty, true, true
 	}
 	if evidence > 0 {
 		c.score, c.suspected = c.score-lastResortPenalty-evidence, true
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -39,6 +39,9 @@
 		if n := roomNeedOf(w); !full.covers(n) && !p.placeStep(now, w) {
 			full = append(full, n)
 		}
+		if w.lastResortAt.Equal(now) {
+			delete(use, w.job.Queue.Service) // throttled fillers take memory
+		}
 		if len(w.tasks) > 0 {
 			p.logWaiting(now, w)
 			rest = append(rest, w)
@@ -60,9 +63,9 @@
 	// worker that suits it less. The record of the run and its start fit before
 	// heldUpDelay.
 	lastResortDelay = 2 * time.Second
-	// maxLastResortUse is the share of a service's processors in use above which
-	// tasks wait for a worker that suits them: on a busy service, those that run would
-	// pay for it.
+	// maxLastResortUse is the share of a service's processors or memory in use above which
+	// tasks wait for a worker that suits them: on a busy service, those that run or come
+	// next would pay for it.
 	maxLastResortUse = 0.6
 )
 
@@ -78,21 +81,22 @@
 	}
 	service := w.job.Queue.Service
 	if _, known := use[service]; !known {
-		use[service] = p.processorUse(service)
+		use[service] = p.serviceUse(service)
 	}
 	return use[service] <= maxLastResortUse &&
 		!slices.ContainsFunc(w.occurrence.Steps[w.step].Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 })
 }
 
-// processorUse returns the share of the processors of a service that is in use.
-func (p *Planner) processorUse(service string) float64 {
-	used, capacity := int64(0), int64(0)
+// serviceUse returns the share of the processors or of the memory of a service that is in
+// use, whichever is larger.
+func (p *Planner) serviceUse(service string) float64 {
+	var used, capacity sched.Resources
 	for _, h := range p.workers {
 		if h.Listed && h.Service == service {
-			used, capacity = used+h.Used.Processors, capacity+h.Capacity.Processors
+			used, capacity = used.Plus(h.Used), capacity.Plus(h.Capacity)
 		}
 	}
-	return float64(used) / float64(max(1, capacity))
+	return max(float64(used.Processors)/float64(max(1, capacity.Processors)), float64(used.Memory)/float64(max(1, capacity.Memory)))
 }
 
 // roomNeed is what decides whether the workers have room for tasks of a step.
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -189,18 +189,27 @@
 	return speedWeight*speed + min(0.3, slack), true
 }
 
+const (
+	// minCrowdedScore is the least score of a worker without throttled fillers.
+	minCrowdedScore = -0.5
+	// throttledPenalty is taken off the score of a worker for each throttled filler there.
+	// It outweighs everything else, so that such fillers spread over the workers.
+	throttledPenalty = 2.0
+)
+
 // crowdedScore returns the score of a worker for a filler task of an overdue step, which
 // the serving tasks there can't bear at full pace, or which leaves too few processors
-// for full speed. It reports whether the task may go there: one such filler at a time,
-// on a worker without throttled ones.
-func (p *Planner) crowdedScore(h *hosts.Host, step *sched.Step) (float64, bool) {
+// for full speed. The filler gets what those before it leave, if need be nothing for a
+// while.
+func (p *Planner) crowdedScore(h *hosts.Host, step *sched.Step) float64 {
+	throttled := 0
 	for _, s := range h.Slots {
 		if s.Step.Filler && (s.Crowded || s.Pace != fullPace) {
-			return 0, false
+			throttled++
 		}
 	}
-	speed := p.fillerSpeed(h, step)
-	return min(0.3, p.slackWith(h, step)) + speedWeight*speed, speed > 0
+	score := min(0.3, p.slackWith(h, step)) + speedWeight*p.fillerSpeed(h, step)
+	return max(minCrowdedScore, score) - throttledPenalty*float64(throttled)
 }
 
 // slackWith returns the least slack of the serving tasks on a worker with another
--- a/pkg/cell/share_test.go
+++ b/pkg/cell/share_test.go
@@ -136,7 +136,10 @@
 	r.planner = cell.New(epoch, nil, o)
 	i.NoErr(r.planner.Learn(heavyFillers(4)))
 	serving := r.serveEverywhere(2)
-	for k := range 3 { // at most two of them can be placed
+	busy := step()
+	busy.Tasks, busy.PerWorker, busy.Needs.Processors = 2, 1, 12000
+	r.submit(job("busy", busy)) // on a busy service, fillers wait until the serving tasks can bear them
+	for k := range 3 {
 		r.submit(job(fmt.Sprint("f", k), fillerStep()))
 	}
 	var fillers []cell.StartCall
@@ -185,6 +188,74 @@
 	i.Equal(len(started), 1) // the others wait until it has ended, or for room
 }
 
+// Guards against a filler that waits for as long as a throttled one of another job is on
+// each worker.
+func TestAFillerStartsThrottledBesideOthersThatAre(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	i.NoErr(r.planner.Learn(heavyFillers(1.5)))
+	serving := r.serveEverywhere(2)
+	for range 20 {
+		r.pass(250 * time.Millisecond)
+		r.report(serving, nil, 9*time.Millisecond) // a load of 0.44, far below the bound
+	}
+	const jobs = 5
+	for k := range jobs {
+		r.submit(job(fmt.Sprint("f", k), fillerStep()))
+	}
+	var started []cell.StartCall
+	perWorker := map[sched.InstanceID]int{}
+	for range 12 { // 3 s
+		r.commit()
+		for _, s := range r.starts() {
+			started = append(started, s)
+			perWorker[s.Worker.ID]++
+			r.start(s, nil)
+		}
+		r.pass(250 * time.Millisecond)
+		r.report(serving, started, 9*time.Millisecond)
+	}
+	i.Equal(len(started), jobs)
+	for _, n := range perWorker {
+		i.True(n <= 3) // spread over the workers
+	}
+}
+
+// Guards against throttled fillers that take the memory which other tasks will need.
+func TestThrottledFillersLeaveMemoryToOthers(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	o := options(1)
+	z, lines := observer.New(zap.InfoLevel)
+	o.Log = zap.New(z)
+	r.planner = cell.New(epoch, nil, o)
+	i.NoErr(r.planner.Learn(heavyFillers(1.5)))
+	serving := r.serveEverywhere(2)
+	for range 20 {
+		r.pass(250 * time.Millisecond)
+		r.report(serving, nil, 8*time.Millisecond)
+	}
+	f := fillerStep()
+	f.Needs.Memory = 4 << 30 // of 64 GiB on each worker
+	for k := range 40 {
+		r.submit(job(fmt.Sprint("f", k), f))
+	}
+	var started []cell.StartCall
+	for range 40 { // 10 s
+		r.commit()
+		for _, s := range r.starts() {
+			started = append(started, s)
+			r.start(s, nil)
+		}
+		r.pass(250 * time.Millisecond)
+		r.report(serving, started, 8*time.Millisecond)
+	}
+	const maxThrottled = 20 // take 60% of the memory, and one more
+	throttled := lines.FilterMessage("lastResort").Len()
+	i.True(throttled >= maxThrottled/2)
+	i.True(throttled <= maxThrottled)
+}
+
 // sharedWorkers simulates workers with a serving task each, whose load goes up and down,
 // and with fillers of which each takes 4 s at full pace.
 type sharedWorkers struct {
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -88,6 +88,6 @@
 		zap.Int("waiting", len(w.tasks)), zap.Int("class", int(w.claim.Class)), zap.Bool("filler", w.job.Steps[w.step].Filler),
 		zap.Int("workers", len(p.workers)), zap.Int("unusable", o.unusable), zap.Int("isolated", o.isolated), zap.Int("full", o.full),
 		zap.Int("suspected", o.suspected), zap.Int("disturbed", o.disturbed), zap.Int("slow", o.slow),
-		zap.Int("usedPercent", int(100*p.processorUse(w.job.Queue.Service))),
+		zap.Int("usedPercent", int(100*p.serviceUse(w.job.Queue.Service))),
 		zap.Int("steps", len(p.waitingSteps)))
 }
