End the suspicion of a worker in time for each task that waits

What callers saw: tasks, gangs and lasting tasks of accepted jobs could run and didn't for more than 3 s, with most of the service unused (LOST).

Cause: a worker on which tasks have failed is suspected, and the exclusion of it had limits without an end in time for the task that waits: - one task at a time may probe it. The next waits for the result, and a lasting task never gives one. Lasting tasks of one step went there 2 s apart. - each failed probe begins a longer pause, so that tasks which fail by themselves keep a sound worker closed to others. - a task doesn't go where it has failed before. On the only worker of its label or with room it waited for a probe window that others took. - a task with its last attempt is never risked, though the worker may be suspected for the failures of its own job only. - a gang that has failed found no room, and gangs of the same needs were taken to have none either. The class of fault: an exclusion meant as a preference that has no end in time.

Change: a step of which nothing has run for 2.5 s may use any suspected worker, beside other probes and where its tasks have failed; its last attempts too, unless failures of other jobs make the worker suspected. For these the wait ends after 10 s, the longest pause. All of that holds as before for services of which at most 60% is in use, or lasting tasks.

What it costs: while many workers fail, a job loses attempts sooner if no other worker has room and the service is at most 60% in use. Its last attempt is kept for 10 s.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
@@ -89,24 +90,60 @@
 	return c, fits
 }
 
+// risk tells on which suspected workers a task may fail.
+type risk struct {
+	planner *Planner
+	now     time.Time
+	step    *waitingStep
+	// task is empty if the task hasn't failed before.
+	task sched.TaskID
+	// lastAttempt is set if another failure would fail the job.
+	lastAttempt bool
+}
+
+// riskOf returns the risk of a task of the step.
+func (p *Planner) riskOf(now time.Time, w *waitingStep, index int) risk {
+	failures := w.occurrence.Steps[w.step].Tasks[index].Failures
+	x := risk{planner: p, now: now, step: w, lastAttempt: !w.job.Steps[w.step].Lasting && failures+1 >= w.job.Queue.MaxAttempts}
+	if failures > 0 {
+		x.task = sched.TaskID(w.taskRef(index).String())
+	}
+	return x
+}
+
+// failedOn reports whether the task has failed on a worker, or a gang has failed anywhere.
+func (x risk) failedOn(h *hosts.Host) bool {
+	return x.task != "" && (x.step.job.Steps[x.step.step].Gang || x.planner.judge.FailedOn(h.ID, x.task))
+}
+
+// allows reports whether the task may go to a suspected worker that its step may use. One
+// that has failed there before waits longer. One that would fail its job goes there if the
+// worker is suspected because of its own job only, or if it has waited for long.
+func (x risk) allows(h *hosts.Host) bool {
+	switch {
+	case x.step.mayRiskAll:
+		return true
+	case x.lastAttempt:
+		return x.step.longOverdue && !x.planner.judge.SuspectedByOthers(x.now, h.ID, x.step.owns)
+	}
+	return x.step.longOverdue || !x.failedOn(h)
+}
+
+// owns reports whether a task is one of the step's job.
+func (w *waitingStep) owns(t sched.TaskID) bool {
+	return strings.HasPrefix(string(t), string(w.job.ID)+".")
+}
+
 // best returns the worker with the highest score for a task, without a Host if there
-// is none. Ties go to the lowest id. A task doesn't go to a suspected worker on which it
-// has failed before, nor with its last attempt: the pause is over soon, a job that has
-// failed stays so.
+// is none. Ties go to the lowest id.
 func (r *ranking) best(index int) scoredWorker {
-	failures := r.waitingStep.occurrence.Steps[r.waitingStep.step].Tasks[index].Failures
-	failedBefore, mayRisk := failures > 0, r.waitingStep.mayRisk(failures)
-	var name sched.TaskID
-	if failedBefore {
-		name = sched.TaskID(r.waitingStep.taskRef(index).String())
-	}
+	x := r.planner.riskOf(r.now, r.waitingStep, index)
 	var best scoredWorker
 	for _, h := range r.candidates {
-		failedHere := failedBefore && r.planner.judge.FailedOn(h.ID, name)
-		if h.suspected && (failedHere || !mayRisk) {
+		if h.suspected && !x.allows(h.Host) {
 			continue
 		}
-		if failedHere {
+		if x.failedOn(h.Host) {
 			h.score -= failedOnPenalty
 		}
 		if best.Host == nil || h.better(best) {
@@ -174,8 +211,9 @@
 }
 
 // trust reports whether tasks of a waiting step may be placed on the worker as far as
-// suspicion is concerned. Nothing may be placed on an isolated one. An overdue step may
-// use a suspected worker, and trust returns the evidence against it, which is above 0.
+// suspicion is concerned. Nothing may be placed on an isolated one. An overdue step may use a suspected
+// worker, and trust returns the evidence against it, which is above 0. There is one such
+// step at a time, unless it is long overdue.
 func (p *Planner) trust(now time.Time, w *waitingStep, h *hosts.Host) (float64, bool) {
 	if isolated(now, h) {
 		return 0, false
@@ -187,18 +225,12 @@
 		return 0, false
 	}
 	evidence, may := p.judge.EarlyProbe(now, h.ID)
-	return max(evidence, minEvidence), may
+	return max(evidence, minEvidence), may || w.longOverdue
 }
 
 // minEvidence stands for evidence that has expired while a worker is still suspected.
 const minEvidence = 0.1
 
-// mayRisk reports whether a task of the step that has failed the given number of times
-// may fail once more without failing its job.
-func (w *waitingStep) mayRisk(failures int) bool {
-	return w.job.Steps[w.step].Lasting || failures+1 < w.job.Queue.MaxAttempts
-}
-
 // usableFor reports whether tasks of a waiting step may be placed on the worker, apart
 // from room.
 func (p *Planner) usableFor(now time.Time, w *waitingStep, h *hosts.Host) bool {
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -35,7 +35,7 @@
 		if w.job.State.Final() || len(w.tasks) == 0 {
 			continue
 		}
-		w.overdue = p.isOverdue(now, w, use)
+		p.updateOverdue(now, w, use)
 		if n := roomNeedOf(w); !full.covers(n) && !p.placeStep(now, w) {
 			full = append(full, n)
 		}
@@ -67,24 +67,51 @@
 	// tasks wait for a worker that suits them: on a busy service, those that run or come
 	// next would pay for it.
 	maxLastResortUse = 0.6
+	// maxProbeWait is how long a step waits for the result of another task that probes
+	// a suspected worker: a lasting task never gives one.
+	maxProbeWait = 2500 * time.Millisecond
+	// maxLastAttemptWait is how long a task with its last attempt waits for a worker on
+	// which no others have failed. It is the longest pause of a suspected worker.
+	maxLastAttemptWait = 10 * time.Second
 )
 
+// updateOverdue sets which workers that suit it less a step may use in a pass. The time
+// counts in which no task of the step runs; of lasting tasks each one is needed.
+func (p *Planner) updateOverdue(now time.Time, w *waitingStep, use map[string]float64) {
+	if !w.job.Steps[w.step].Lasting && w.running() {
+		w.ranAt = now
+	}
+	w.overdue = p.isOverdue(now, w, use)
+	idle := now.Sub(w.waitingSince)
+	if w.ranAt.After(w.waitingSince) {
+		idle = now.Sub(w.ranAt)
+	}
+	w.longOverdue, w.mayRiskAll = w.overdue && idle >= maxProbeWait, w.overdue && idle >= maxLastAttemptWait
+}
+
+// running reports whether a task of the step has a run.
+func (w *waitingStep) running() bool {
+	return slices.ContainsFunc(w.occurrence.Steps[w.step].Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 })
+}
+
 // isOverdue reports whether tasks of a step have waited for lastResortDelay while none
 // of the step ran and much of the service was unused. Lasting tasks are all needed, so
 // each of them counts, however busy the service is.
 func (p *Planner) isOverdue(now time.Time, w *waitingStep, use map[string]float64) bool {
-	if w.waitingSince.IsZero() || now.Sub(w.waitingSince) < lastResortDelay || now.Sub(w.lastResortAt) < lastResortDelay {
+	if w.waitingSince.IsZero() || now.Sub(w.waitingSince) < lastResortDelay {
 		return false
 	}
 	if w.job.Steps[w.step].Lasting {
 		return true
 	}
+	if now.Sub(w.lastResortAt) < lastResortDelay || w.running() {
+		return false
+	}
 	service := w.job.Queue.Service
 	if _, known := use[service]; !known {
 		use[service] = p.serviceUse(service)
 	}
-	return use[service] <= maxLastResortUse &&
-		!slices.ContainsFunc(w.occurrence.Steps[w.step].Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 })
+	return use[service] <= maxLastResortUse
 }
 
 // serviceUse returns the share of the processors or of the memory of a service that is in
@@ -106,16 +133,17 @@
 	// depends on its image then. image is empty otherwise.
 	filler bool
 	image  string
-	// overdue steps may use workers that others don't.
-	overdue bool
-	needs   sched.Resources
+	// overdue steps may use workers that others don't, and those that are so for long still
+	// more.
+	overdue, longOverdue bool
+	needs                sched.Resources
 	// members is how many tasks must have room at the same time: all of a gang.
 	members int
 }
 
 func roomNeedOf(w *waitingStep) roomNeed {
 	s := &w.job.Steps[w.step]
-	n := roomNeed{service: w.job.Queue.Service, label: s.Label, overdue: w.overdue, needs: s.Counted(), members: 1}
+	n := roomNeed{service: w.job.Queue.Service, label: s.Label, overdue: w.overdue, longOverdue: w.longOverdue, needs: s.Counted(), members: 1}
 	switch {
 	case s.Gang:
 		n.members = s.Tasks
@@ -136,7 +164,7 @@
 func (f noRoom) covers(n roomNeed) bool {
 	for _, x := range f {
 		if x.service == n.service && x.label == n.label && x.filler == n.filler && x.image == n.image &&
-			(x.overdue || !n.overdue) && x.members <= n.members && x.needs.Fits(n.needs) {
+			(x.overdue || !n.overdue) && (x.longOverdue || !n.longOverdue) && x.members <= n.members && x.needs.Fits(n.needs) {
 			return true
 		}
 	}
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -26,7 +26,7 @@
 	}
 	members := p.gangWorkers(now, w)
 	if members == nil {
-		return w.job.Steps[w.step].PerWorker > 0 || w.job.Queue.Advice != nil
+		return w.job.Steps[w.step].PerWorker > 0 || w.job.Queue.Advice != nil || w.overdue && tasks[0].Failures > 0
 	}
 	n := sched.RunNumber(0)
 	for k := range tasks {
@@ -71,16 +71,16 @@
 
 // gangWorkers returns a worker for each member of a gang, nil if there is no room
 // for all of them. If the tasks are faster on one rack, the racks are tried one
-// by one first, that of the data before the others. An overdue gang that hasn't failed
-// before may use suspected workers where it must.
+// by one first, that of the data before the others. An overdue gang may use suspected
+// workers where it must, later if it has failed before.
 func (p *Planner) gangWorkers(now time.Time, w *waitingStep) []*hosts.Host {
 	step := &w.job.Steps[w.step]
-	failures := w.occurrence.Steps[w.step].Tasks[0].Failures
+	risk := p.riskOf(now, w, 0)        // the first member counts the failures of all
 	risky := map[*hosts.Host]float64{} // the evidence against the suspected workers
 	var usable []*hosts.Host
 	for _, h := range p.workers {
 		evidence, trusted := p.trust(now, w, h)
-		if !trusted || evidence > 0 && (failures > 0 || !w.mayRisk(failures)) ||
+		if !trusted || evidence > 0 && !risk.allows(h) ||
 			!p.inService(now, h, w.job.Queue.Service, step) || !p.hasTicket(now, w, h) {
 			continue
 		}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -167,10 +167,13 @@
 	waitingSince time.Time
 	// nextLog is how long the tasks must have waited before the reason is logged again.
 	nextLog time.Duration
-	// overdue is set in a pass in which a task may go to a worker that suits it less.
-	// lastResortAt is when one was last placed that way.
-	overdue      bool
-	lastResortAt time.Time
+	// overdue is set in a pass in which a task may go to a worker that suits it less;
+	// longOverdue if it may probe a suspected worker beside others, and where it has failed
+	// before; mayRiskAll if it may do so with its last attempt.
+	overdue, longOverdue, mayRiskAll bool
+	// lastResortAt is when a task was last placed on a worker that suits it less, and ranAt
+	// when one last ran, unless the tasks last.
+	lastResortAt, ranAt time.Time
 	// heldUp is set once the tasks are counted in Stats.HeldUp.
 	heldUp bool
 }
--- a/pkg/cell/rig_test.go
+++ b/pkg/cell/rig_test.go
@@ -191,3 +191,8 @@
 		Tasks: 1, Needs: sched.Resources{Processors: 1000, Memory: 1 << 30}, Estimate: time.Second,
 	}
 }
+
+func withTasks(s sched.Step, n int) sched.Step {
+	s.Tasks = n
+	return s
+}
--- a/pkg/suspct/judge_test.go
+++ b/pkg/suspct/judge_test.go
@@ -168,6 +168,23 @@
 	i.True(len(f.judge.tasks) <= int((defaultPauses.Retention+defaultPauses.Retention/sweepsPerRetention)/time.Second)+1)
 }
 
+// Guards against a task that is kept off a worker because of its own failures only.
+func TestTheFailuresOfOthersDecideForATaskThatHasFailed(t *testing.T) {
+	i := is.New(t)
+	j, now := New(), start
+	own := func(t sched.TaskID) bool { return t[0] == 'a' }
+	for n := range 6 {
+		j.AttemptEnded(now, id(0), sched.TaskID(fmt.Sprint("a", n)), "k", sched.AttemptFailed)
+	}
+	i.True(j.Suspected(id(0)))
+	i.True(!j.SuspectedByOthers(now, id(0), own))
+	for n := range 6 {
+		j.AttemptEnded(now, id(0), sched.TaskID(fmt.Sprint("b", n)), "k", sched.AttemptFailed)
+	}
+	i.True(j.SuspectedByOthers(now, id(0), own))
+	i.True(!j.SuspectedByOthers(now, id(1), own)) // not suspected at all
+}
+
 // Guards against early probes that let a failing worker have task after task, and against
 // some whose results don't count.
 func TestAnEarlyProbeEndsOrProlongsThePause(t *testing.T) {
