Don't send a placed run to a worker that has left service

Callers saw: an accepted task that waits for the lease of a worker that was gone before the task's start order was sent, while another worker is free.

Cause: a run is placed first and ordered once the record is durable, which takes long when the store is slow. sendStart compared only the capacity and the unknown runs again. A worker that had begun to drain, fallen silent, left the list, lost the label, changed its service or restarted meanwhile got the order all the same.

Change: sendStart checks the service conditions of the placement again, without the pause after a refusal and the isolation of suspects, which hold for further placements; and the incarnation for which the run was placed. Otherwise the run is given up as notSent and its task is placed again in the next pass.

--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -269,8 +269,8 @@
 }
 
 // sendStart orders the start of a run whose placement is durable. If no order
-// may be sent, no lease be granted, or the worker has runs of unknown needs or too
-// little capacity by now, the run is given up and the task waits again.
+// may be sent, no lease be granted, or the worker can't take the run any more, the run
+// is given up and the task waits again.
 func (p *Planner) sendStart(now time.Time, s placement) {
 	h := p.workers[s.worker]
 	if h == nil {
@@ -282,7 +282,7 @@
 		return
 	}
 	lease := h.Grant(now, p.options.LeaseLimit)
-	if j == nil || j.State.Final() || lease == 0 || h.Strays > 0 || h.Over() || !p.mayOrder(now) {
+	if j == nil || j.State.Final() || lease == 0 || !mayStart(h, slot, j.Queue.Service) || !p.mayOrder(now) {
 		p.loseRun(now, h, slot, "notSent")
 		return
 	}
@@ -294,3 +294,9 @@
 		Checkpoint: p.resumeCheckpoint(j, s.key.Task, t), Ticket: p.ticketFor(now, s.key.Task, h),
 	}})
 }
+
+// mayStart reports whether a placed run of a job of the service may start on its worker:
+// the worker is in service for it as at the placement, and its capacity isn't exceeded.
+func mayStart(h *hosts.Host, s *hosts.Slot, service string) bool {
+	return s.Incarnation == h.NewestIncarnation() && takes(h, service, s.Step) && !h.Over()
+}
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -204,13 +204,17 @@
 	return trusted && p.inService(now, h, w.job.Queue.Service, &w.job.Steps[w.step])
 }
 
-// inService reports whether the worker is listed, in contact, not draining, of the
-// service and with the label of the step, has no runs of unknown needs, holds
-// no suspect of a crash that has to be alone, and hasn't just refused a start for lack
-// of room.
+// inService reports whether the worker takes tasks of the step, holds no suspect of a
+// crash that has to be alone, and hasn't just refused a start for lack of room.
 func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
-	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
-		(step.Label == "" || slices.Contains(h.Labels, step.Label)) && !isolated(now, h)
+	return takes(h, service, step) && now.After(h.NoRoomUntil) && !isolated(now, h)
+}
+
+// takes reports whether the worker is listed, in contact, not draining, of the service
+// and with the label of the step, and has no runs of unknown needs.
+func takes(h *hosts.Host, service string, step *sched.Step) bool {
+	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service &&
+		(step.Label == "" || slices.Contains(h.Labels, step.Label))
 }
 
 // atTaskLimit reports whether the worker has as many tasks of the step as
