Let tasks probe behind a gang that may not use suspected workers

Callers saw: an accepted task that waits for up to ten seconds beside free workers, all of them suspected, though it has waited long enough to be tried on one.

Cause: a step that has waited for two seconds may use suspected workers, and if it finds no room, steps with the same needs aren't looked at in that pass. A gang that has failed before, or has its last attempt, mustn't use suspected workers, but was recorded as one that had looked at them. It covered the steps that may use them, in each pass.

Change: such a gang is never overdue, so it covers only steps that may not use suspected workers either. The test in gangWorkers is not needed any more: a step that isn't overdue gets no suspected worker.

--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -68,11 +68,15 @@
 
 // isOverdue reports whether tasks of a step have waited for lastResortDelay while none
 // of the step ran and much of the service was unused. Lasting tasks are all needed, so
-// each of them counts, however busy the service is.
+// each of them counts, however busy the service is. A gang that may not use suspected
+// workers is never overdue: it mustn't count as short of room for steps that may.
 func (p *Planner) isOverdue(now time.Time, w *waitingStep, use map[string]float64) bool {
 	if w.waitingSince.IsZero() || now.Sub(w.waitingSince) < lastResortDelay || now.Sub(w.lastResortAt) < lastResortDelay {
 		return false
 	}
+	if w.job.Steps[w.step].Gang && !w.gangMayRisk() {
+		return false
+	}
 	if w.job.Steps[w.step].Lasting {
 		return true
 	}
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -42,6 +42,13 @@
 	return true
 }
 
+// gangMayRisk reports whether a gang may use suspected workers: it hasn't failed before,
+// and may fail once more without failing its job.
+func (w *waitingStep) gangMayRisk() bool {
+	failures := w.occurrence.Steps[w.step].Tasks[0].Failures
+	return failures == 0 && w.mayRisk(failures)
+}
+
 // probeEarly notes for each suspected worker among the members that the gang is its probe.
 func (p *Planner) probeEarly(now time.Time, w *waitingStep, members []*hosts.Host) {
 	for _, h := range slices.Compact(slices.Clone(members)) {
@@ -71,17 +78,15 @@
 
 // gangWorkers returns a worker for each member of a gang, nil if there is no room
 // for all of them. If the tasks are faster on one rack, the racks are tried one
-// by one first, that of the data before the others. An overdue gang that hasn't failed
-// before may use suspected workers where it must.
+// by one first, that of the data before the others. An overdue gang may use suspected
+// workers where it must.
 func (p *Planner) gangWorkers(now time.Time, w *waitingStep) []*hosts.Host {
 	step := &w.job.Steps[w.step]
-	failures := w.occurrence.Steps[w.step].Tasks[0].Failures
 	risky := map[*hosts.Host]float64{} // the evidence against the suspected workers
 	var usable []*hosts.Host
 	for _, h := range p.workers {
 		evidence, trusted := p.trust(now, w, h)
-		if !trusted || evidence > 0 && (failures > 0 || !w.mayRisk(failures)) ||
-			!p.inService(now, h, w.job.Queue.Service, step) || !p.hasTicket(now, w, h) {
+		if !trusted || !p.inService(now, h, w.job.Queue.Service, step) || !p.hasTicket(now, w, h) {
 			continue
 		}
 		if usable = append(usable, h); evidence > 0 {
