--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -238,11 +238,16 @@
 	return trusted && p.inService(now, h, w.job.Queue.Service, &w.job.Steps[w.step])
 }
 
-// inService reports whether the worker is listed, in contact, not draining, of the
-// service and with the label of the step, has no runs of unknown needs, and hasn't just
-// refused a start for lack of room.
+// inService reports whether the worker takes tasks of the step, and hasn't just refused a
+// start for lack of room.
 func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
-	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service && now.After(h.NoRoomUntil) &&
+	return takes(h, service, step) && now.After(h.NoRoomUntil)
+}
+
+// takes reports whether the worker is listed, in contact, not draining, of the service
+// and with the label of the step, and has no runs of unknown needs.
+func takes(h *hosts.Host, service string, step *sched.Step) bool {
+	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service &&
 		(step.Label == "" || slices.Contains(h.Labels, step.Label))
 }
 
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -26,7 +26,7 @@
 	}
 	members := p.gangWorkers(now, w)
 	if members == nil {
-		return w.job.Steps[w.step].PerWorker > 0 || w.job.Queue.Advice != nil || w.overdue && tasks[0].Failures > 0
+		return w.job.Steps[w.step].PerWorker > 0 || w.job.Queue.Advice != nil || w.overdue && !p.gangMayRisk(now, w)
 	}
 	n := sched.RunNumber(0)
 	for k := range tasks {
@@ -42,6 +42,12 @@
 	return true
 }
 
+// gangMayRisk reports whether a gang may use all suspected workers once it is overdue: it
+// hasn't failed before, and may fail once more without failing its job.
+func (p *Planner) gangMayRisk(now time.Time, w *waitingStep) bool {
+	return w.occurrence.Steps[w.step].Tasks[0].Failures == 0 && !p.riskOf(now, w, 0).lastAttempt
+}
+
 // probeEarly notes for each suspected worker among the members that the gang is its probe.
 func (p *Planner) probeEarly(now time.Time, w *waitingStep, members []*hosts.Host) {
 	for _, h := range slices.Compact(slices.Clone(members)) {
