End the term of a planner that is stuck

A planner whose actor loops or waits for ever starts nothing and answers no call, while its term goes on.

Cause: the append loop appends the term record every 500 ms without the planner's actor, so other instances see a planner that works. Only a panic ended the term. At the end of a term Run also waited ten seconds for a stuck actor, and then read the planner's counters while the actor used them.

Change: each tick is a message to the actor. The ticker ends the term if the actor has handled none for 5 s and lagFactor times the scheduling lag, with the stack of the actor in the log (plannerStuck). A tick that is late by a second or more shows that the process was paused; the time counts anew from there. Run waits for the actor for at most a second at the end of any term, and reads the counters only if the actor has ended.

Why it works: effects are carried out under a mutex under which failed and finished are set. After either, a function of the planner that goes on sends no order, reply or append, also while the resignation is being appended.

Tests: TestAPlannerThatIsStuckEndsItsTerm and two rows of TestAPlannerThatIsSlowKeepsItsTerm fail on the parent ('the term goes on', 'false != true'), TestATermEndsWithItsContextThoughThePlannerIsStuck too. The tests fail again without the restart after a pause (2 rows), without the lag (1 row), without the check under the mutex (1 lease order instead of 0) and without the bound on the wait.

Failed attempts: the first version of the test stopped the term at 1.0 s, the time of a heartbeat, and sometimes got the error of a context that ends during an append; it stops between two heartbeats now. It first passed without the check under the mutex, since a planner without fresh proof orders nothing by itself; the planner gets its proof in the test now.

Open: the goroutine of a planner that loops runs on until the process ends (plannerRunsOn). A process in which each tick is late by a second or more is never judged.

--- a/internal/process/lead/export_test.go
+++ b/internal/process/lead/export_test.go
@@ -1,4 +1,6 @@
 package lead
 
+import "github.com/parsleybarrow/parsleybarrow/pkg/cell"
+
 // Post runs f in the planner's actor, as the results of calls are.
-func (l *Leader) Post(f func()) { l.post(f) }
+func (l *Leader) Post(f func(*cell.Planner)) { l.post(func() { f(l.planner) }) }
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -58,10 +58,17 @@
 	ticket         cell.Ticket
 	stopped        chan struct{}
 	finished       atomic.Bool
-	// failure receives the error of a planner that has panicked, and failed is set
-	// from then on.
-	failure      chan error
-	failed       atomic.Bool
+	// failure receives the error of a planner that has panicked or is stuck, and
+	// failed is set from then on.
+	failure chan error
+	failed  atomic.Bool
+	// effects is held while effects are carried out. Once failed or finished is set
+	// under it, no further ones are.
+	effects sync.Mutex
+	// handled counts the messages that the planner's actor has handled, and
+	// actorEnded is closed when it has handled its last one.
+	handled      atomic.Int64
+	actorEnded   chan struct{}
 	supersededBy chan Term
 	suspecting   atomic.Bool
 	// appendPending is set while an append has not succeeded yet; retryRequested
@@ -86,19 +93,19 @@
 // effect.
 var ErrTermEnded = errors.New("term ended during the call")
 
-// ErrPlannerFailed reports that the term has ended because the planner has panicked.
-// The next planner of the cell begins with what is recorded.
+// ErrPlannerFailed reports that the term has ended because the planner has panicked or
+// is stuck. The next planner of the cell begins with what is recorded.
 var ErrPlannerFailed = errors.New("planner failed")
 
 // Partition returns the partition of the store that holds the records of a cell.
 func Partition(cell int) sched.Partition { return sched.Partition{Topic: Topic, Number: cell} }
 
 // Run begins a term and plans the cell until the context ends or another instance
-// takes over, which gives a *SupersededError, or until the planner panics, which gives
-// ErrPlannerFailed. When the context ends between two appends,
+// takes over, which gives a *SupersededError, or until the planner panics or is stuck,
+// which gives ErrPlannerFailed. When the context ends between two appends,
 // Run appends a record that ends the term, and returns nil. When it ends during an
 // append, Run returns the context's error, and the term stays in force until another
-// instance replaces it.
+// instance replaces it. Run doesn't wait for a planner that is stuck.
 func (l *Leader) Run(c context.Context) error {
 	if l.Log == nil {
 		l.Log = zap.NewNop()
@@ -129,16 +136,26 @@
 	go l.ticker(work)
 	err = l.appendLoop(c)
 	l.Log.Info("termEnded", zap.Int64("term", int64(l.termNumber)), zap.Error(err))
-	l.finished.Store(true)
 	close(l.stopped)
+	l.effects.Lock()
+	l.finished.Store(true)
+	l.effects.Unlock()
 	stop()
 	l.calls.Wait()
-	_ = l.system.Root.PoisonFuture(l.pid).Wait()
-	l.report(l.Clock.Now(), 0)
+	l.system.Root.Poison(l.pid)
+	select {
+	case <-l.actorEnded:
+		l.report(l.Clock.Now(), 0)
+	case <-time.After(actorEndTimeout):
+		l.Log.Warn("plannerRunsOn", zap.Int64("term", int64(l.termNumber)))
+	}
 	l.system.Shutdown()
 	return err
 }
 
+// actorEndTimeout bounds the wait for the planner's actor at the end of a term.
+const actorEndTimeout = time.Second
+
 func (l *Leader) beginTerm(c context.Context) (*keyedState, error) {
 	k, err := load(c, l.Store, Partition(l.Cell))
 	if err != nil {
@@ -177,9 +194,13 @@
 func (l *Leader) startActor() {
 	silent := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 	l.system = actor.NewActorSystem(actor.WithLoggerFactory(silent))
+	l.actorEnded = make(chan struct{})
 	l.pid = l.system.Root.Spawn(actor.PropsFromFunc(func(x actor.Context) {
-		if f, ok := x.Message().(func()); ok {
-			l.handle(f)
+		switch m := x.Message().(type) {
+		case func():
+			l.handle(m)
+		case *actor.Stopped:
+			close(l.actorEnded)
 		}
 	}))
 }
@@ -191,16 +212,26 @@
 		return
 	}
 	defer func() {
+		l.handled.Add(1)
 		if r := recover(); r != nil {
-			l.failed.Store(true)
 			l.Log.Error("plannerFailed", zap.Any("panic", r), zap.Stack("stack"))
-			l.failure <- fmt.Errorf("%w: %v", ErrPlannerFailed, r)
+			l.fail(fmt.Errorf("%w: %v", ErrPlannerFailed, r))
 		}
 	}()
 	f()
 	l.applyEffects()
 }
 
+// fail ends the term with the error. Once it has returned, no effect of the planner is
+// carried out any more.
+func (l *Leader) fail(err error) {
+	l.effects.Lock()
+	defer l.effects.Unlock()
+	if !l.failed.Swap(true) {
+		l.failure <- err
+	}
+}
+
 // post runs f in the planner's actor, without waiting for it.
 func (l *Leader) post(f func()) { l.system.Root.Send(l.pid, f) }
 
@@ -222,11 +253,20 @@
 	}
 }
 
+// ticker has the planner's actor call Tick, and ends the term if the actor is stuck,
+// until the context ends.
 func (l *Leader) ticker(c context.Context) {
-	for last := l.Clock.Now(); l.Clock.Sleep(c, tickInterval) == nil; {
+	last := l.Clock.Now()
+	s := stall{since: last}
+	for l.Clock.Sleep(c, tickInterval) == nil {
 		now := l.Clock.Now()
-		l.lag.observe(now.Sub(last) - tickInterval)
+		late := now.Sub(last) - tickInterval
+		l.lag.observe(late)
 		last = now
+		if d, stuck := s.observe(now, late, l.handled.Load(), l.lag.recent()); stuck && !l.failed.Load() {
+			l.Log.Error("plannerStuck", zap.Duration("after", d), zap.String("stacks", actorStacks()))
+			l.fail(fmt.Errorf("%w: no message handled for %v", ErrPlannerFailed, d))
+		}
 		l.post(func() {
 			l.planner.Tick(l.Clock.Now())
 			l.report(now, statsInterval)
@@ -237,7 +277,8 @@
 // statsInterval is the least time between two calls of OnStats during a term.
 const statsInterval = time.Second
 
-// report calls OnStats if the last call was at least the pause ago.
+// report calls OnStats if the last call was at least the pause ago. It runs in the
+// planner's actor, or after that has ended.
 func (l *Leader) report(now time.Time, pause time.Duration) {
 	if l.OnStats == nil || now.Sub(l.reportedAt) < pause {
 		return
@@ -256,8 +297,17 @@
 	}
 	l.planner.Flush(l.Clock.Now())
 	e := l.planner.TakeEffects()
+	l.effects.Lock()
+	defer l.effects.Unlock()
+	if l.failed.Load() || l.finished.Load() {
+		return
+	}
 	if len(e.Append) > 0 {
-		l.appends <- e.Append
+		select {
+		case l.appends <- e.Append:
+		case <-l.stopped:
+			return
+		}
 	}
 	for _, r := range e.Replies {
 		if t := l.tickets[r.Ticket]; t != nil {
