Survive a panic on what is recorded of a cell

A panic while a planner is built from the records ends the process, and that of the next instance that takes the cell over, in turn: nothing of the cell is started and each of its instances is gone.

Cause: cell.New, Learn and the decoding of the jobs run in the goroutine of Run, outside the recover of the actor.

Change: a panic while a job's records are decoded counts as a record that can't be decoded: it is logged (badRecord) and skipped, as such records were before. A panic in cell.New or Learn ends the term like one in the actor: it is logged with its stack (plannerFailed), the term ends by a resignation, and Run returns ErrPlannerFailed.

No record is known on which decoding panics.

Open: a learned record on which Learn panics ends each term of the cell in turn, although a planner could do without it.

--- a/internal/process/lead/failure_test.go
+++ b/internal/process/lead/failure_test.go
@@ -273,3 +273,52 @@
 		})
 	}
 }
+
+// panicOnce panics in the first call of Now after it was armed.
+type panicOnce struct {
+	clock.System
+	armed atomic.Bool
+}
+
+func (k *panicOnce) Now() time.Time {
+	if k.armed.CompareAndSwap(true, false) {
+		panic("index out of range")
+	}
+	return k.System.Now()
+}
+
+// firstAppend arms a clock once the first record of a term has been appended.
+type firstAppend struct {
+	sched.Store
+	clock *panicOnce
+	once  sync.Once
+}
+
+func (f *firstAppend) Append(
+	c context.Context, p sched.Partition, at sched.Offset, records []sched.KeyedRecord,
+) (sched.Offset, error) {
+	defer f.once.Do(func() { f.clock.armed.Store(true) })
+	return f.Store.Append(c, p, at, records)
+}
+
+// Guards against a planner that ends the process when it can't begin with what is
+// recorded, and against its term, which would stay in force.
+func TestAPlannerThatPanicsAtItsBeginningEndsItsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := newWorld()
+		c, stop := context.WithCancel(t.Context())
+		defer stop()
+		k := &panicOnce{}
+		l := newLeader(w, "entry-0")
+		l.Clock, l.Store = k, &firstAppend{Store: l.Store, clock: k}
+		l.OnBegin = func(sched.Offset) { t.Error("the term has begun") }
+		i.True(errors.Is(l.Run(c), lead.ErrPlannerFailed))
+		next := newLeader(w, "entry-1")
+		begin(c, next)
+		_, _, err := next.State(c, "0000000000000001")
+		i.NoErr(err)
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
+	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -119,11 +120,8 @@
 	defer stop()
 	l.callContext = work
 	l.Options.Term, l.Options.Log = l.termNumber, l.Log
-	l.planner = cell.New(l.Clock.Now(), restored.decodeJobs(l.Log), l.Options)
-	if r := restored.records[cell.LearnedKey]; len(r.Value) > 0 {
-		if err := l.planner.Learn(r.Value); err != nil {
-			l.Log.Error("badRecord", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
-		}
+	if l.planner, err = l.newPlanner(restored); err != nil {
+		return l.ended(err)
 	}
 	l.tickets = map[cell.Ticket]chan sched.Verdict{}
 	l.begunAt = l.Clock.Now()
@@ -171,6 +169,29 @@
 	return k, err
 }
 
+// newPlanner returns a planner that goes on with what is recorded. If that makes it panic,
+// the error is ErrPlannerFailed.
+func (l *Leader) newPlanner(restored *keyedState) (p *cell.Planner, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = l.plannerFailed(r)
+		}
+	}()
+	p = cell.New(l.Clock.Now(), restored.decodeJobs(l.Log, codec.DecodeProgress), l.Options)
+	if r := restored.records[cell.LearnedKey]; len(r.Value) > 0 {
+		if err := p.Learn(r.Value); err != nil {
+			l.Log.Error("badRecord", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
+		}
+	}
+	return p, nil
+}
+
+// plannerFailed logs a panic of the planner, with the stack, and returns it as an error.
+func (l *Leader) plannerFailed(r any) error {
+	l.Log.Error("plannerFailed", zap.Any("panic", r), zap.Stack("stack"))
+	return fmt.Errorf("%w: %v", ErrPlannerFailed, r)
+}
+
 // Number returns the number of the term, 0 before it has begun.
 func (l *Leader) Number() sched.Offset { return l.termNumber }
 
@@ -214,8 +235,7 @@
 	defer func() {
 		l.handled.Add(1)
 		if r := recover(); r != nil {
-			l.Log.Error("plannerFailed", zap.Any("panic", r), zap.Stack("stack"))
-			l.fail(fmt.Errorf("%w: %v", ErrPlannerFailed, r))
+			l.fail(l.plannerFailed(r))
 		}
 	}()
 	f()
--- a/internal/process/lead/load.go
+++ b/internal/process/lead/load.go
@@ -183,16 +183,19 @@
 	return t
 }
 
+// progressDecoder adds the progress that a record holds to a job.
+type progressDecoder func(j *jobs.Job, progress []byte) error
+
 // decodeJobs returns the jobs of the cell. Records that can't be decoded are logged
 // and skipped.
-func (k *keyedState) decodeJobs(log *zap.Logger) []*jobs.Job {
+func (k *keyedState) decodeJobs(log *zap.Logger, decode progressDecoder) []*jobs.Job {
 	var out []*jobs.Job
 	for key, r := range k.records {
 		id, found := strings.CutPrefix(key, cell.RunPrefix)
 		if !found || len(r.Value) == 0 {
 			continue
 		}
-		j, err := k.decodeJob(sched.JobID(id), r.Value)
+		j, err := k.decodeJob(sched.JobID(id), r.Value, decode)
 		if err != nil {
 			log.Error("badRecord", zap.String("key", key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
 			continue
@@ -202,14 +205,20 @@
 	return out
 }
 
-func (k *keyedState) decodeJob(id sched.JobID, progress []byte) (*jobs.Job, error) {
+// decodeJob returns a job as its records have it. A panic counts as a record that can't be
+// decoded, so that it costs one job and not the cell.
+func (k *keyedState) decodeJob(id sched.JobID, progress []byte, decode progressDecoder) (j *jobs.Job, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("decode job %s: panic: %v", id, r)
+		}
+	}()
 	s := sched.Job{ID: id}
 	if r := k.records[cell.JobPrefix+string(id)]; len(r.Value) > 0 {
-		var err error
 		if s, err = codec.DecodeJob(id, r.Value); err != nil {
 			return nil, err
 		}
 	}
-	j := jobs.New(s)
-	return j, codec.DecodeProgress(j, progress)
+	j = jobs.New(s)
+	return j, decode(j, progress)
 }
