Space out the terms of a planner that fails in each of them

If the planner fails because of what is recorded, each instance begins a term, fails and begins the next one 200 ms later. Each term reads and writes the cell's partition and has all workers report anew.

Cause: the time between two terms (lostTermDelay) doesn't depend on why the term ended.

Change: the delay of an instance after a term whose planner has failed doubles from 200 ms to at most 5 s; a failure 30 s or more after the end of the last delay counts as the first. Meanwhile the instance goes on monitoring the cell's planner, and takes the cell over at once if that planner asks for it. All other take-overs are as before.

Test: TestTermsOfAFailingPlannerAreSpacedOut plays a minute of one instance whose planner panics in each term: 294 terms before, 16 after. After a single failure the next term begins within a second, before and after. TestATakeoverOnRequestIsNotDelayedByFailures: a request during the delay is met at once.

Open: each instance counts its own failures. With n instances the cell still has up to n times as many terms.

--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -51,6 +51,8 @@
 	// takeoverRequests receives the terms after which this instance is asked to
 	// plan the cell. It holds one; further ones are dropped while it is pending.
 	takeoverRequests chan sched.Offset
+	// backoff is used only by the goroutine of run.
+	backoff termBackoff
 }
 
 func newCellController(e *Entry, cell int) *cellController {
@@ -112,6 +114,9 @@
 	case c.Err() != nil:
 		k.handOver(l.Number(), nil)
 		return
+	case errors.Is(err, lead.ErrPlannerFailed):
+		k.backoff.recordFailure(e.Clock.Now())
+		e.Log.Warn("termFailed", zap.Int("cell", k.number), zap.Error(err), zap.Duration("delay", k.backoff.delay))
 	case err != nil:
 		e.Log.Warn("termFailed", zap.Int("cell", k.number), zap.Error(err))
 	}
--- a/internal/process/entry/monitor.go
+++ b/internal/process/entry/monitor.go
@@ -44,7 +44,8 @@
 type probeResult struct{ answered, reaches bool }
 
 // run returns when this instance should take the cell over, with the reason for the
-// log. It returns an empty string when the context has ended.
+// log. It returns an empty string when the context has ended. After failures of the
+// planner here it waits longer, unless the present planner asks for the takeover.
 func (m *plannerMonitor) run(c context.Context) string {
 	e := m.cell.entry
 	began := e.Clock.Now()
@@ -56,8 +57,9 @@
 		}
 		m.planner = p
 		m.checkPlanner(c, p, known)
-		yes, why := m.watch.TakeOver(e.Clock.Now())
-		if yes && (known || e.Clock.Now().Sub(began) >= firstTermDelay) {
+		now := e.Clock.Now()
+		yes, why := m.watch.TakeOver(now)
+		if yes && !now.Before(m.cell.backoff.until) && (known || now.Sub(began) >= firstTermDelay) {
 			return why
 		}
 		select {
