Stop isolating tasks whose runs have ended since the crash

What callers saw: tasks waited though there was room for them, and lasting tasks ran for a third of the time.

Cause: a task that was on a worker when it crashed is a suspect, and nothing is placed beside it until it has run for a second (10 s after two crashes). The mark had no end. Lasting tasks that fail by themselves every 2 s, and had once been beside a crash, closed their worker with each run, and their step had one of them start at a time.

Change: a suspect of which a run has ended by itself, as done or failed, is no longer kept apart from others. The mark and the count of crashes in the record stay, so that the verdicts of pkg/crash are as before; after another crash the task is kept apart again. A new planner isolates it for one run more.

All tests of pkg/crash and pkg/cell are unchanged but for a hook of the model fleet that sets how long a run takes and how it ends.

--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -76,6 +76,26 @@
 	return r
 }
 
+// suspected reports whether a task may crash its worker: it was on one that crashed, and
+// none of its runs has ended by itself since.
+func (j *job) suspected(r sched.TaskRef) bool {
+	unit := crashUnit(j, r)
+	t := j.Task(unit)
+	return t != nil && t.Suspect && !j.provenTasks[unit]
+}
+
+// noteProven notes that a run of a task has ended by itself, so that the task need not be
+// kept apart from others any more. Its crashes still count.
+func (j *job) noteProven(r sched.TaskRef) {
+	if !j.suspected(r) {
+		return
+	}
+	if j.provenTasks == nil {
+		j.provenTasks = map[sched.TaskRef]bool{}
+	}
+	j.provenTasks[crashUnit(j, r)] = true
+}
+
 // crashedRun is a run that was on a worker when it crashed, with its job.
 type crashedRun struct {
 	job  *job
@@ -144,6 +164,7 @@
 func (p *Planner) suspectTask(now time.Time, h *hosts.Host, r crashedRun, v crash.Verdict) {
 	t := r.job.Task(r.task)
 	t.Suspect = true
+	delete(r.job.provenTasks, r.task)
 	if v.Counts {
 		t.Crashes++
 	}
@@ -219,7 +240,6 @@
 // waiting. While the step as a whole is suspected, its tasks are placed one after
 // the other.
 func (p *Planner) placeSuspects(now time.Time, w *waitingStep) []int {
-	tasks := w.occurrence.Steps[w.step].Tasks
 	suspected, busy := p.stepSuspected(now, w)
 	if suspected && busy {
 		left := w.tasks
@@ -229,10 +249,11 @@
 	var left, free []int
 	placed := false
 	for _, k := range w.tasks {
+		suspect := w.job.suspected(w.taskRef(k))
 		switch {
-		case !tasks[k].Suspect && !suspected:
+		case !suspect && !suspected:
 			free = append(free, k)
-		case suspected && (placed || !tasks[k].Suspect):
+		case suspected && (placed || !suspect):
 			left = append(left, k)
 		default:
 			h := p.isolationWorker(now, w)
@@ -241,7 +262,7 @@
 				continue
 			}
 			placed = true
-			p.placeTask(now, w, k, h, tasks[k].LastRun+1)
+			p.placeTask(now, w, k, h, w.occurrence.Steps[w.step].Tasks[k].LastRun+1)
 		}
 	}
 	w.tasks = free
@@ -257,7 +278,7 @@
 		return false, false
 	}
 	for k := range tasks {
-		suspected = suspected || tasks[k].Suspect
+		suspected = suspected || w.job.suspected(w.taskRef(k))
 		for _, r := range tasks[k].Runs {
 			h := p.workers[r.Worker]
 			if h == nil {
--- a/pkg/cell/crash_test.go
+++ b/pkg/cell/crash_test.go
@@ -16,9 +16,11 @@
 )
 
 // crashingFleet answers a planner's orders for workers that some tasks crash. A run
-// takes runTime; a crashed worker is away for downTime.
+// takes runTime and is done; a crashed worker is away for downTime.
 type crashingFleet struct {
 	*rig
+	// ends, if set, returns how long a run takes instead, and how it ends.
+	ends func(sched.TaskRef) (time.Duration, sched.RunEnd)
 	// crashes reports whether a task crashes its worker, and how long after its start.
 	crashes func(sched.TaskRef) (time.Duration, bool)
 	// sameID makes workers come back under their ids, else another id has the address.
@@ -94,10 +96,14 @@
 			}
 		}
 		for k, at := range w.runs {
-			if f.now.Sub(at) >= runTime {
+			after, end := runTime, sched.EndDone
+			if f.ends != nil {
+				after, end = f.ends(k.Task)
+			}
+			if f.now.Sub(at) >= after {
 				delete(w.runs, k)
 				w.lastEnd++
-				w.ends = append(w.ends, sched.EndedRun{Number: w.lastEnd, Task: k.Task, Run: k.Run, End: sched.EndDone})
+				w.ends = append(w.ends, sched.EndedRun{Number: w.lastEnd, Task: k.Task, Run: k.Run, End: end})
 			}
 		}
 	}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -145,6 +145,8 @@
 	pendingStarts  []placement
 	// stepLoads holds the load of each step whose tasks serve users.
 	stepLoads map[int]*share.Load
+	// provenTasks are the suspects of a crash of which a run has ended by itself since.
+	provenTasks map[sched.TaskRef]bool
 }
 
 // placement is a run that was placed on a worker.
@@ -268,7 +270,7 @@
 	s := &j.Steps[k.Task.Step]
 	slot := &hosts.Slot{Key: k, Step: s, Pace: fullPace}
 	if t := j.Task(crashUnit(j, k.Task)); t != nil {
-		slot.Suspect, slot.Crashes = t.Suspect, t.Crashes
+		slot.Suspect, slot.Crashes = j.suspected(k.Task), t.Crashes
 	}
 	if s.TailGoal > 0 {
 		if j.stepLoads[k.Task.Step] == nil {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -62,6 +62,9 @@
 	p.saveCheckpoint(j, s.Task, e.Checkpoint)
 	step := &j.Steps[s.Task.Step]
 	p.judgeWorker(now, h, s, j, e.End)
+	if e.End == sched.EndDone || e.End == sched.EndFailed {
+		j.noteProven(s.Task)
+	}
 	switch {
 	case e.End == sched.EndDone && !step.Lasting:
 		if !s.StartedAt.IsZero() && s.Run == 1 {
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -58,8 +58,8 @@
 	// order.
 	Stopping bool
 	StopAt   time.Time
-	// Suspect is set if an earlier run of the task may have crashed its worker, and
-	// Crashes counts how often that was so.
+	// Suspect is set if an earlier run of the task may have crashed its worker and none has
+	// ended by itself since. Crashes counts the crashes under the task.
 	Suspect bool
 	Crashes int
 	// Incarnation is that of the worker on which the run is, 0 if unknown. The run
