Excuse no crash for others at the same time that tasks explain

What callers saw: a task that crashes its workers some seconds after each start was started again and again (BUDGET).

Cause: three workers that stop answering within a second were taken for an outage, also if each of them had just started a task that crashes its worker, and if they only missed a call and answered the next. The class of fault: a coincidence of symptoms is taken for a common cause though each has one of its own.

Fix: a silence counts as an end with a cause outside only if no run explains it, that is, if none had just started and there isn't just one suspect. The silence of a worker that answers again in the same incarnation is no end and is forgotten. An outage of several workers is still held against no task that hadn't just started.

Evidence: TestCrashesAtTheSameTimeHaveACauseOutsideUnlessTasksExplainThem fails before for the rows "three other tasks that have just started" and "three other workers that are cut off for a moment"; its other rows are controls.

--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,10 +37,12 @@
 	maxSeparationWait = 1500 * time.Millisecond
 )
 
-// silence is the time at which a worker stopped answering.
+// silence is the time at which a worker stopped answering. It is explained if a run is
+// likely to have crashed the worker.
 type silence struct {
-	worker sched.InstanceID
-	at     time.Time
+	worker    sched.InstanceID
+	at        time.Time
+	explained bool
 }
 
 // noteSilence notes that a worker didn't answer a call, to which it may wait for the
@@ -59,24 +62,47 @@
 	if !h.Silent(since, by) {
 		return
 	}
-	p.silences = slices.DeleteFunc(p.silences, func(s silence) bool {
-		return r.Received.Sub(s.at) > silenceRetention || s == silence{h.ID, before}
-	})
-	p.silences = append(p.silences, silence{h.ID, h.SilentSince})
+	p.dropSilence(h.ID, before)
+	p.silences = slices.DeleteFunc(p.silences, func(s silence) bool { return r.Received.Sub(s.at) > silenceRetention })
+	p.silences = append(p.silences, silence{worker: h.ID, at: h.SilentSince})
+}
+
+// dropSilence forgets that a worker stopped answering at the given time.
+func (p *Planner) dropSilence(id sched.InstanceID, at time.Time) {
+	p.silences = slices.DeleteFunc(p.silences, func(s silence) bool { return s.worker == id && s.at.Equal(at) })
+}
+
+// answered notes an answer of a worker whose runs are known. If it was silent without
+// having restarted, that was no end.
+func (p *Planner) answered(now time.Time, h *hosts.Host, restarted bool) {
+	if !restarted && !h.SilentSince.IsZero() {
+		p.dropSilence(h.ID, h.SilentSince)
+	}
+	h.Answered(now)
 }
 
 // simultaneous reports whether several other workers stopped answering at about the
-// given time.
+// given time without a run that explains it.
 func (p *Planner) simultaneous(id sched.InstanceID, at time.Time) bool {
 	others := map[sched.InstanceID]bool{}
 	for _, s := range p.silences {
-		if s.worker != id && s.at.Sub(at).Abs() <= simultaneousSpan {
+		if s.worker != id && s.at.Sub(at).Abs() <= simultaneousSpan && !p.explained(s) {
 			others[s.worker] = true
 		}
 	}
 	return len(others) >= minSimultaneous
 }
 
+// explained reports whether a run is likely to have caused a silence. While the worker
+// is still silent, the runs there tell.
+func (p *Planner) explained(s silence) bool {
+	h := p.workers[s.worker]
+	if h == nil || !h.SilentSince.Equal(s.at) {
+		return s.explained
+	}
+	return s.explained || crash.Explained(facts(p.crashedRuns(s.at, h, slices.Collect(maps.Values(h.Slots)))))
+}
+
 // crashUnit returns the task whose Crashes counts the crashes under a task: the
 // first member of a gang, else the task itself.
 func crashUnit(j *job, r sched.TaskRef) sched.TaskRef {
@@ -106,21 +132,33 @@
 		at = now
 	}
 	runs := p.crashedRuns(at, h, slots)
-	facts := make([]crash.Run, len(runs))
-	for k, r := range runs {
-		facts[k] = r.Run
+	if crash.Explained(facts(runs)) {
+		for k := range p.silences {
+			if s := &p.silences[k]; s.worker == h.ID && s.at.Equal(at) {
+				s.explained = true
+			}
+		}
 	}
 	simultaneous := !h.AnsweredAt.IsZero() && p.simultaneous(h.ID, at) // else the time of the crash isn't known
 	p.options.Log.Info("workerCrashed", zap.String("worker", string(h.ID)), zap.Int("runs", len(runs)),
 		zap.Bool("simultaneous", simultaneous), zap.Duration("ago", now.Sub(at)))
 	p.stats.Crashes++
-	for k, v := range crash.Judge(facts, simultaneous) {
+	for k, v := range crash.Judge(facts(runs), simultaneous) {
 		if v.Suspect {
 			p.suspectTask(now, h, runs[k], v)
 		}
 	}
 }
 
+// facts returns what the runs are judged by.
+func facts(runs []crashedRun) []crash.Run {
+	out := make([]crash.Run, len(runs))
+	for k, r := range runs {
+		out[k] = r.Run
+	}
+	return out
+}
+
 // crashedRuns returns the started runs among the slots, the members of a gang as one,
 // with their ages at the given time.
 func (p *Planner) crashedRuns(at time.Time, h *hosts.Host, slots []*hosts.Slot) []crashedRun {
--- a/pkg/cell/crash_test.go
+++ b/pkg/cell/crash_test.go
@@ -383,3 +383,66 @@
 		})
 	}
 }
+
+// Guards against a task that goes on crashing workers because other tasks crash others at the same time, and against tasks that are suspected for an outage of several workers.
+func TestCrashesAtTheSameTimeHaveACauseOutsideUnlessTasksExplainThem(t *testing.T) {
+	rows := []struct {
+		name    string
+		crashes int // of other workers at the same time
+		outage  time.Duration
+		suspect bool
+	}{
+		{"three other tasks that have just started", 3, 0, true},
+		{"outage of three other workers", 3, downTime, false},
+		{"outage of one other worker", 1, downTime, true},
+		{"three other workers that are cut off for a moment", 3, 500 * time.Millisecond, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			f := newCrashingFleet(t, 4)
+			f.sameID = true
+			f.crashes = func(r sched.TaskRef) (time.Duration, bool) {
+				if r.Job == "slow" {
+					return 2 * time.Second, true
+				}
+				return 10 * time.Millisecond, r.Job[0] == 'q'
+			}
+			f.advance(time.Second)
+			whole := step() // has a worker to itself
+			whole.Needs.Processors = 16000
+			f.submit(job("slow", whole))
+			for k := range row.crashes {
+				if row.outage > 0 {
+					f.submit(job(fmt.Sprint("good", k), whole))
+				}
+			}
+			f.advance(1900 * time.Millisecond)
+			for k := range row.crashes {
+				if row.outage == 0 {
+					f.submit(job(fmt.Sprint("quick", k), whole))
+				}
+			}
+			f.advance(100 * time.Millisecond)
+			var cut []*fleetWorker
+			runs := map[*fleetWorker]map[hosts.Key]time.Time{}
+			for _, w := range f.workers {
+				for r := range w.runs {
+					if strings.HasPrefix(string(r.Task.Job), "good") {
+						cut, runs[w] = append(cut, w), w.runs
+						w.runs, w.downUntil = map[hosts.Key]time.Time{}, f.now.Add(downTime)
+					}
+				}
+			}
+			f.advance(min(row.outage, downTime/2))
+			for _, w := range cut {
+				if row.outage < downTime {
+					w.runs, w.downUntil = runs[w], time.Time{}
+				}
+			}
+			f.advance(4200*time.Millisecond - min(row.outage, downTime/2))
+			i.Equal(f.crashed[sched.TaskRef{Job: "slow"}], 1)
+			i.Equal(f.recorded("slow").Suspect, row.suspect)
+		})
+	}
+}
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -138,9 +138,10 @@
 	h.Failures = 0
 	h.AckedEnd = max(h.AckedEnd, r.AckedEnd)
 	p.applyEnds(now, h, r.Answer.Ended)
+	restarted := !h.RunsKnown
 	p.reconcileRuns(now, h, r)
 	if h.RunsKnown { // until then the runs of an earlier life aren't settled
-		h.Answered(r.Received)
+		p.answered(r.Received, h, restarted)
 	}
 	p.updatePaces(now, h)
 	h.NextExchangeAt = now.Add(exchangePause)
@@ -271,7 +272,7 @@
 		return // the answer is of an earlier life; the new one made the run unsure
 	}
 	if h.RunsKnown && r.Answer.Refusal != sched.RefusedIdentity {
-		h.Answered(r.Received)
+		p.answered(r.Received, h, false)
 	}
 	if r.Answer.Refusal == sched.NotRefused {
 		if s.Phase == hosts.Ordered {
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -96,6 +96,21 @@
 	return out
 }
 
+// Explained reports whether one of the runs on a worker is likely to have crashed it: one
+// is known to have just started, or one was the only suspect.
+func Explained(runs []Run) bool {
+	suspects := 0
+	for _, r := range runs {
+		if r.fresh() && r.Started {
+			return true
+		}
+		if r.Suspect && r.Started && r.Age < SoundAge {
+			suspects++
+		}
+	}
+	return suspects == 1
+}
+
 // fresh reports whether the run had started just before the crash.
 func (r Run) fresh() bool { return r.AgeKnown && r.Age < StartWindow }
 
