Place a run again if its worker restarts before the order

A job could be held responsible for a crash that never was: its worker restarted between the placement of a run and the start order, the order to the new incarnation was lost, and the run, which had the earlier incarnation, counted as one that ended with it.

Cause: the incarnation of a run is that at its placement, but the order leaves once the record is durable, for whatever incarnation is there by then. The class of fault: a decision is carried out although the state that it was made for has changed.

Change: sendStart gives the run up as notSent if the worker has restarted since the placement, as it does if the room has gone. The task is placed again.

Evidence: TestARunPlacedBeforeARestartIsPlacedAgain failed before, since the order of the first run was sent to the second incarnation, and passes now.

--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -269,8 +269,9 @@
 }
 
 // sendStart orders the start of a run whose placement is durable. If no order
-// may be sent, no lease be granted, or the worker has runs of unknown needs or too
-// little capacity by now, the run is given up and the task waits again.
+// may be sent, no lease be granted, or the worker has restarted since, has runs of
+// unknown needs or too little capacity by now, the run is given up and the task waits
+// again.
 func (p *Planner) sendStart(now time.Time, s placement) {
 	h := p.workers[s.worker]
 	if h == nil {
@@ -282,7 +283,7 @@
 		return
 	}
 	lease := h.Grant(now, p.options.LeaseLimit)
-	if j == nil || j.State.Final() || lease == 0 || h.Strays > 0 || h.Over() || !p.mayOrder(now) {
+	if j == nil || j.State.Final() || lease == 0 || h.Restarted(slot) || h.Strays > 0 || h.Over() || !p.mayOrder(now) {
 		p.loseRun(now, h, slot, "notSent")
 		return
 	}
