--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -179,7 +179,8 @@
 
 // reconcileRuns compares the runs that the worker reports with those that the
 // planner has placed there. Unknown runs are stopped; runs that the worker can't
-// have any more are lost.
+// have any more are lost. Those of an earlier incarnation are lost together, since one
+// crash has ended them all.
 func (p *Planner) reconcileRuns(now time.Time, h *hosts.Host, r LeaseResult) {
 	listed := make(map[hosts.Key]bool, len(r.Answer.Running))
 	h.Strays = 0
@@ -201,11 +202,12 @@
 	h.RunsKnown = h.RunsKnown || r.Token == h.Token(p.options.Term)
 	var gone, crashed []*hosts.Slot
 	for k, s := range h.Slots {
-		if listed[k] || !s.ProvenGone(r.Token, r.Answer.Clock) {
+		restarted := h.Restarted(s)
+		if listed[k] || !s.ProvenGone(r.Token, r.Answer.Clock) || restarted && !h.RunsKnown {
 			continue
 		}
 		gone = append(gone, s)
-		if h.Restarted(s) {
+		if restarted {
 			crashed = append(crashed, s)
 		}
 	}
