--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,7 +89,7 @@
 // the worker has restarted or was replaced: a silent worker may still be alive. A
 // worker that was about to leave hasn't crashed.
 func (p *Planner) workerCrashed(now time.Time, h *hosts.Host, slots []*hosts.Slot) {
-	if h.Draining || len(slots) == 0 {
+	if slots = slices.DeleteFunc(slots, h.Left); len(slots) == 0 {
 		return
 	}
 	at := h.SilentSince
--- a/pkg/cell/crash_test.go
+++ b/pkg/cell/crash_test.go
@@ -279,6 +279,25 @@
 			f.advance(100 * time.Millisecond)
 			w.runs, w.downUntil = map[hosts.Key]time.Time{}, f.now.Add(downTime)
 		}},
+		{"about to leave, and back at once under its id", func(f *crashingFleet, w *fleetWorker) {
+			w.Draining, w.DrainRemaining = true, time.Second
+			f.planner.Listed(f.now, w.Worker)
+			f.advance(100 * time.Millisecond)
+			w.Draining, w.DrainRemaining = false, 0
+			w.runs, w.ends, w.lastEnd = map[hosts.Key]time.Time{}, nil, 0
+			w.Incarnation = f.now.UnixMilli()
+			f.planner.Listed(f.now, w.Worker)
+		}},
+		{"about to leave, and away for longer than its lease", func(f *crashingFleet, w *fleetWorker) {
+			w.Draining, w.DrainRemaining = true, time.Second
+			f.planner.Listed(f.now, w.Worker)
+			f.advance(100 * time.Millisecond)
+			w.runs, w.ends, w.lastEnd, w.downUntil = map[hosts.Key]time.Time{}, nil, 0, f.now.Add(time.Hour)
+			f.advance(10 * time.Second)
+			w.Draining, w.DrainRemaining, w.downUntil = false, 0, time.Time{}
+			w.Incarnation = f.now.UnixMilli()
+			f.planner.Listed(f.now, w.Worker)
+		}},
 		{"silent until its lease has ended, and back", func(f *crashingFleet, w *fleetWorker) {
 			w.downUntil = f.now.Add(time.Hour)
 			f.advance(20 * time.Second)
@@ -304,6 +323,39 @@
 	}
 }
 
+// Guards against a crash that isn't counted, since the worker was or is about to leave in
+// another incarnation, or no longer was when it crashed.
+func TestAWorkerThatStaysHasCrashedWhateverItDidBefore(t *testing.T) {
+	rows := []struct {
+		name          string
+		before, after bool // it drains before the run is placed, or as soon as it is back
+	}{
+		{"it was to leave before, and stayed", true, false},
+		{"it is to leave as soon as it is back", false, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			f := newCrashingFleet(t, 1)
+			f.crashes = func(sched.TaskRef) (time.Duration, bool) { return 0, false }
+			f.advance(time.Second)
+			w := f.workers[0]
+			w.Draining, w.DrainRemaining = row.before, time.Minute
+			f.planner.Listed(f.now, w.Worker)
+			f.advance(time.Second)
+			w.Draining = false
+			f.planner.Listed(f.now, w.Worker)
+			f.submit(job("a", step()))
+			f.advance(100 * time.Millisecond)
+			i.Equal(len(w.runs), 1)
+			w.runs, w.Incarnation, w.Draining = map[hosts.Key]time.Time{}, f.now.UnixMilli(), row.after
+			f.planner.Listed(f.now, w.Worker)
+			f.advance(time.Second)
+			i.Equal(f.planner.Stats().Crashes, int64(1))
+		})
+	}
+}
+
 // Guards against a task that crashes worker after worker, since each is back only after
 // the task has been given up with its lease.
 func TestACrashOfAWorkerThatIsAwayForLongerThanItsLeaseCounts(t *testing.T) {
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -59,6 +59,7 @@
 		h.NoRoomUntil = time.Time{}
 		h.Touch()
 	}
+	h.SetLeaving(w)
 	h.Worker, h.Listed, h.ListedAt = w, true, now
 	if added {
 		p.options.Log.Info("workerListed", zap.String("worker", string(w.ID)), zap.String("address", w.Address))
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -144,6 +144,8 @@
 	Listed bool
 	// ListedAt is when the entry last changed or was removed.
 	ListedAt time.Time
+	// LeavingIncarnation is the newest one whose last entry was draining, 0 if none.
+	LeavingIncarnation int64
 	// RunsKnown is set once an exchange under the present token and life has listed
 	// the runs on the worker.
 	RunsKnown bool
@@ -357,6 +359,25 @@
 // which the run is.
 func (h *Host) Restarted(s *Slot) bool { return s.Incarnation > 0 && h.life > s.Incarnation }
 
+// Left reports whether the incarnation on which the run is was about to leave.
+func (h *Host) Left(s *Slot) bool {
+	if s.Incarnation == 0 {
+		return h.Draining
+	}
+	return s.Incarnation == h.LeavingIncarnation
+}
+
+// SetLeaving takes from a new entry of the list whether its incarnation is about to
+// leave.
+func (h *Host) SetLeaving(w sched.Worker) {
+	switch {
+	case w.Draining:
+		h.LeavingIncarnation = w.Incarnation
+	case w.Incarnation == h.LeavingIncarnation:
+		h.LeavingIncarnation = 0
+	}
+}
+
 // Touch raises Version.
 func (h *Host) Touch() { h.Version++ }
 
