Don't place tasks on a restarted worker by its entry of before

Callers saw: a task on a worker that has less capacity than its needs, or not the label or service of the step, after the worker had restarted; the start is refused or exceeds the capacity, and the task waits.

Cause: a planner learns of a new incarnation from the list or from an answer of the worker, whichever comes first. After an answer, the runs of the new incarnation were known, and the worker was used by its old entry until the list showed the new one. A new incarnation may be of another kind.

Change: a worker is used only if its entry is of the newest known incarnation, or has none. The condition holds for placements and for the start orders of placed runs.

Evidence: TestARestartedWorkerIsNotUsedByTheEntryOfBefore fails in all 12 rows without the change (a task, a gang and a filler are started by the old entry) and passes with it. It also shows that the worker is used in the next pass after its entry has come, without a further exchange. TestAWorkerWhoseEntryHasNoIncarnationIsUsed passes before and after; it guards the case of entries without an incarnation, with answers that have one or none.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -210,11 +210,12 @@
 	return takes(h, service, step) && now.After(h.NoRoomUntil) && !isolated(now, h)
 }
 
-// takes reports whether the worker is listed, in contact, not draining, of the service
-// and with the label of the step, and has no runs of unknown needs.
+// takes reports whether the worker is listed in its newest incarnation, in contact, not
+// draining, of the service and with the label of the step, and has no runs of unknown
+// needs.
 func takes(h *hosts.Host, service string, step *sched.Step) bool {
-	return h.Listed && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining && h.Service == service &&
-		(step.Label == "" || slices.Contains(h.Labels, step.Label))
+	return h.Listed && h.EntryCurrent() && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining &&
+		h.Service == service && (step.Label == "" || slices.Contains(h.Labels, step.Label))
 }
 
 // atTaskLimit reports whether the worker has as many tasks of the step as
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -249,6 +249,10 @@
 // NewestIncarnation returns the newest known life of the worker.
 func (h *Host) NewestIncarnation() int64 { return h.life }
 
+// EntryCurrent reports whether the entry of the list is of the newest known life, or
+// doesn't say of which it is. A later life may have another capacity and other labels.
+func (h *Host) EntryCurrent() bool { return h.Incarnation == 0 || h.Incarnation >= h.life }
+
 // BeginIncarnation begins a new life of the worker. Its clock and the numbers of its ends
 // start again, and it has seen no token. The token is raised and runs become
 // unsure, since any order may have reached the new life until the next exchange
