Ask about further workers while a gang's tickets don't suffice

Callers saw: a job whose queue needs advice, with a gang that waits for about ten seconds though enough free workers may run it.

Cause: a step asked the advisor about at most 30 workers, and asked again only when no worker with a ticket had room for a task. A gang with a ticket for one worker, of the three that it needs, thus waited for the end of that ticket. New tickets replaced the earlier ones, so that tickets of two questions never counted together. A refusal held for the id of a worker, though a new incarnation may be of another kind, and a ticket was used after a restart of its worker, though it ends with the incarnation.

Change: a gang asks about further workers until those with tickets have room for all of it, as long as these and the others together have. Tickets have their own validity and are kept; tickets and refusals hold for the incarnation that was asked about. A row of an answer without a ticket counts as a refusal, as it must now that each is kept by itself.

Evidence: on the code before, TestAGangAsksAboutFurtherWorkersWhileItsTicketsDoNotSuffice (0 of 3 members started in 1 s), TestATicketEndsWithItsOwnValidity and both rows of TestAdviceEndsWithTheIncarnationOfTheWorker fail; all pass with the change. TestAGangWithoutRoomAsksOnlyOnceInTheTimeOfATicket and TestAnEmptyTicketIsNone pass before and after: the load on the advisor stays as it was for a gang without room.

--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,23 +26,44 @@
 	adviceRetention = time.Minute
 )
 
-// stepAdvice is the advisor's newest answer about a step.
+// stepAdvice is what the advisor has answered about a step.
 type stepAdvice struct {
-	// inFlight is set while a question about the step has no result.
+	// inFlight is set while a question about the step has no result. asked holds the
+	// workers in it and their incarnations at that time.
 	inFlight bool
+	asked    map[sched.InstanceID]int64
 	// retryAt is the earliest time of the next question.
 	retryAt time.Time
-	// validUntil is when the tickets end, less ticketMargin.
-	validUntil time.Time
-	// tickets holds the text of the ticket of each worker that may run the step.
-	tickets map[sched.InstanceID]string
-	// refused holds the workers that were asked about and got no ticket. The
-	// advisor doesn't change such an answer.
-	refused map[sched.InstanceID]bool
+	// tickets holds the ticket of each worker that may run the step.
+	tickets map[sched.InstanceID]stepTicket
+	// refused holds the incarnations of the workers that got no ticket. The advisor
+	// doesn't change such an answer.
+	refused map[sched.InstanceID]int64
 	// usedAt is when ensureAdvice was last called for the step.
 	usedAt time.Time
 }
 
+// stepTicket permits tasks of a step on one incarnation of a worker until validUntil, which
+// is the end of the ticket less ticketMargin.
+type stepTicket struct {
+	text        string
+	incarnation int64
+	validUntil  time.Time
+}
+
+// valid reports whether the worker has a ticket that is valid.
+func (a *stepAdvice) valid(now time.Time, h *hosts.Host) bool {
+	t, known := a.tickets[h.ID]
+	return known && t.incarnation == h.NewestIncarnation() && now.Before(t.validUntil)
+}
+
+// mayAsk reports whether a question about the worker may get a ticket that it doesn't
+// have.
+func (a *stepAdvice) mayAsk(now time.Time, h *hosts.Host) bool {
+	incarnation, refused := a.refused[h.ID]
+	return !a.valid(now, h) && (!refused || incarnation != h.NewestIncarnation())
+}
+
 // AdviceCall asks the advisor which of the workers may run the step. Its result
 // goes to Planner.Advised.
 type AdviceCall struct {
@@ -64,70 +86,77 @@
 	return sched.StepRef{Job: w.job.ID, Occurrence: w.occurrence.Number, Step: w.step}
 }
 
-// ensureAdvice reports whether a worker with a valid ticket has room for a task
-// of the step. If none has, it asks the advisor, unless a question is on its way
-// or the delay after the last one isn't over.
+// ensureAdvice reports whether the workers with valid tickets have room for a task
+// of the step, or for all of a gang. If they haven't, it asks the advisor, unless a
+// question is on its way or the delay after the last one isn't over.
 func (p *Planner) ensureAdvice(now time.Time, w *waitingStep) bool {
 	ref := waitingStepRef(w)
 	a := p.advice[ref]
 	if a == nil {
-		a = &stepAdvice{tickets: map[sched.InstanceID]string{}, refused: map[sched.InstanceID]bool{}}
+		a = &stepAdvice{tickets: map[sched.InstanceID]stepTicket{}, refused: map[sched.InstanceID]int64{}}
 		p.advice[ref] = a
 	}
 	a.usedAt = now
-	if now.Before(a.validUntil) && p.ticketedWorkerHasRoom(now, w, a) {
+	step := &w.job.Steps[w.step]
+	ticketed := p.ticketedWorkers(now, w, a)
+	if len(ticketed) > 0 && (!step.Gang || pack(ticketed, step) != nil) {
 		return true
 	}
 	if a.inFlight || now.Before(a.retryAt) {
 		return false
 	}
-	ask := p.adviceCandidates(now, w, a)
-	if len(ask) == 0 {
+	others := p.adviceCandidates(now, w, a)
+	// More tickets don't help while all of these workers have too little room for a gang.
+	if len(others) == 0 || len(ticketed) > 0 && pack(slices.Concat(ticketed, others), step) == nil {
 		a.retryAt = now.Add(adviceRetry)
 		return false
 	}
-	a.inFlight = true
-	p.effects.Advice = append(p.effects.Advice, AdviceCall{ref, ask})
+	c := AdviceCall{Step: ref}
+	a.inFlight, a.asked = true, map[sched.InstanceID]int64{}
+	for _, h := range others[:min(len(others), maxAdviceWorkers)] {
+		c.Workers = append(c.Workers, h.ID)
+		a.asked[h.ID] = h.NewestIncarnation()
+	}
+	p.effects.Advice = append(p.effects.Advice, c)
 	return false
 }
 
-// ticketedWorkerHasRoom reports whether a worker with a ticket has room for a
-// task of the step.
-func (p *Planner) ticketedWorkerHasRoom(now time.Time, w *waitingStep, a *stepAdvice) bool {
-	step := &w.job.Steps[w.step]
+// ticketedWorkers returns the workers with a valid ticket that have room for a task of
+// the step.
+func (p *Planner) ticketedWorkers(now time.Time, w *waitingStep, a *stepAdvice) []*hosts.Host {
+	var out []*hosts.Host
 	for id := range a.tickets {
-		h := p.workers[id]
-		if h != nil && p.usableFor(now, w, h) && step.Counted().Fits(h.Free()) &&
-			!p.atTaskLimit(w, step, h) {
-			return true
+		if h := p.workers[id]; h != nil && a.valid(now, h) && p.hasRoomFor(now, w, h) {
+			out = append(out, h)
 		}
 	}
-	return false
+	return out
 }
 
-// adviceCandidates returns up to maxAdviceWorkers workers to ask about: those
-// with room for a task that weren't refused before, most free processors first.
-func (p *Planner) adviceCandidates(now time.Time, w *waitingStep, a *stepAdvice) []sched.InstanceID {
-	step := &w.job.Steps[w.step]
-	var fit []*hosts.Host
+// adviceCandidates returns the workers with room for a task of the step that have no
+// ticket and weren't refused one, most free processors first.
+func (p *Planner) adviceCandidates(now time.Time, w *waitingStep, a *stepAdvice) []*hosts.Host {
+	var out []*hosts.Host
 	for _, h := range p.workers {
-		if !a.refused[h.ID] && p.usableFor(now, w, h) && step.Counted().Fits(h.Free()) &&
-			!p.atTaskLimit(w, step, h) {
-			fit = append(fit, h)
+		if a.mayAsk(now, h) && p.hasRoomFor(now, w, h) {
+			out = append(out, h)
 		}
 	}
-	slices.SortFunc(fit, func(a, b *hosts.Host) int {
+	slices.SortFunc(out, func(a, b *hosts.Host) int {
 		return cmp.Or(cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
 	})
-	var out []sched.InstanceID
-	for _, h := range fit[:min(len(fit), maxAdviceWorkers)] {
-		out = append(out, h.ID)
-	}
 	return out
 }
 
-// Advised handles the result of an AdviceCall. New tickets replace all earlier
-// ones of the step.
+// hasRoomFor reports whether the worker is usable for a waiting step and has room for a
+// task of it.
+func (p *Planner) hasRoomFor(now time.Time, w *waitingStep, h *hosts.Host) bool {
+	step := &w.job.Steps[w.step]
+	return step.Counted().Fits(h.Free()) && p.usableFor(now, w, h) && !p.atTaskLimit(w, step, h)
+}
+
+// Advised handles the result of an AdviceCall. Earlier tickets of other workers stay
+// valid.
 func (p *Planner) Advised(now time.Time, r AdviceResult) {
 	a := p.advice[r.Call.Step]
 	if a == nil {
@@ -140,15 +169,14 @@
 		a.retryAt = now.Add(adviceRetry)
 		return
 	}
-	for _, id := range r.Call.Workers {
-		a.refused[id] = true
-	}
-	clear(a.tickets)
+	maps.Copy(a.refused, a.asked)
 	for _, t := range r.Tickets {
-		a.tickets[t.Worker] = t.Text
+		if t.Text == "" {
+			continue // a worker would refuse a start without a ticket
+		}
+		a.tickets[t.Worker] = stepTicket{t.Text, a.asked[t.Worker], r.Sent.Add(r.Validity - ticketMargin)}
 		delete(a.refused, t.Worker)
 	}
-	a.validUntil = r.Sent.Add(r.Validity - ticketMargin)
 	if len(r.Tickets) == 0 {
 		a.retryAt = now
 	}
@@ -161,14 +189,14 @@
 		return true
 	}
 	a := p.advice[waitingStepRef(w)]
-	return a != nil && now.Before(a.validUntil) && a.tickets[h.ID] != ""
+	return a != nil && a.valid(now, h)
 }
 
 // ticketFor returns the ticket for the start of a task on a worker, empty if
 // there is none.
 func (p *Planner) ticketFor(_ time.Time, r sched.TaskRef, h *hosts.Host) string {
 	if a := p.advice[stepRefOf(r)]; a != nil {
-		return a.tickets[h.ID]
+		return a.tickets[h.ID].text
 	}
 	return ""
 }
@@ -177,7 +205,7 @@
 // which a worker has refused.
 func (p *Planner) invalidateAdvice(r sched.TaskRef) {
 	if a := p.advice[stepRefOf(r)]; a != nil {
-		a.validUntil = time.Time{}
+		clear(a.tickets)
 	}
 }
 
