Don't read a result that the planner may still write

A caller whose time ends, or whose term ends, during State or Pending gets an error together with a result that the planner writes at the same moment.

Cause: ask returns an error while its function may still run; State and Pending then return the variables that the function sets.

Change: with an error they return nothing of the result.

--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -147,10 +147,13 @@
 		s, sure = l.planner.State(l.Clock.Now(), id)
 		f = l.planner.Failure(id)
 	})
-	if err == nil && !sure {
+	if err != nil {
+		return 0, 0, err // the planner may still write the result
+	}
+	if !sure {
 		return 0, f, ErrNotPlanner
 	}
-	return s, f, err
+	return s, f, nil
 }
 
 // Pending returns the number of accepted jobs of each queue that haven't started.
@@ -163,10 +166,13 @@
 		waiting, sure = l.planner.Pending(l.Clock.Now())
 		out = maps.Clone(waiting)
 	})
-	if err == nil && !sure {
+	if err != nil {
+		return nil, err
+	}
+	if !sure {
 		return nil, ErrNotPlanner
 	}
-	return out, err
+	return out, nil
 }
 
 // WorkerListed tells the planner of a new or changed entry in the platform's list of
--- a/internal/process/lead/calls_test.go
+++ b/internal/process/lead/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,3 +70,29 @@
 		})
 	}
 }
+
+// Guards against a caller that gives up and reads a result which the planner is writing.
+// The race detector decides.
+func TestACallerThatGivesUpLeavesTheResultToThePlanner(t *testing.T) {
+	i := is.New(t)
+	k := clock.NewManual(time.Date(2026, 9, 8, 12, 0, 0, 0, time.UTC))
+	l := &Leader{Clock: k, Log: zap.NewNop(), stopped: make(chan struct{})}
+	l.planner = cell.New(k.Now(), nil, cell.Options{Log: l.Log})
+	l.startActor()
+	defer l.system.Shutdown()
+	c, cancel := context.WithCancel(t.Context())
+	cancel()
+	var calls sync.WaitGroup
+	for range 1000 {
+		calls.Go(func() {
+			s, _, err := l.State(c, "0000000000000001")
+			i.True(err != nil || s == 0)
+		})
+		calls.Go(func() {
+			n, err := l.Pending(c)
+			i.True((err == nil) == (n != nil))
+		})
+	}
+	calls.Wait()
+	_ = l.system.Root.PoisonFuture(l.pid).Wait()
+}
