--- a/pkg/cell/old_entry_test.go
+++ b/pkg/cell/old_entry_test.go
@@ -10,8 +10,8 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
-// restart answers exchanges as the given incarnation until its runs are known.
-func (r *rig) restart(incarnation int64) {
+// answerAs answers exchanges as the given incarnation until its runs are known.
+func (r *rig) answerAs(incarnation int64) {
 	for range 3 { // the first order may have the token of before the restart
 		r.pass(9 * time.Second) // exchanges are due
 		r.exchange("w1", sched.LeaseAnswer{OrderAnswer: sched.OrderAnswer{Incarnation: incarnation}}, nil)
@@ -53,7 +53,7 @@
 				i := is.New(t)
 				r := newRig(t)
 				r.list(worker(1))
-				r.restart(2)
+				r.answerAs(2)
 				s.step.Label = "a"
 				r.submit(job("a", s.step))
 				i.Equal(len(r.startsSoon()), 0)
@@ -80,7 +80,7 @@
 		w := worker(1)
 		w.Incarnation = 0
 		r.list(w)
-		r.restart(answered)
+		r.answerAs(answered)
 		r.submit(job("a", step()))
 		i.Equal(len(r.startsSoon()), 1)
 	}
