Judge a gang by any of its members that has started

What callers see: a gang that crashes its workers may be started once more than it has to be, and what it takes with it is lost again.

Cause: the members of a gang on one worker are judged as one run, and the facts were those of the member that the loop over the worker's runs, which is a map, had first. If the start of one member has no answer, the gang was taken as not known to have started, or not, by chance. The class of fault: the order of a map decides.

Fix: the gang has started if one of its members on the worker has.

Evidence: TestACrashUnderAGangCountsIfOneMemberHasStarted fails before.

--- a/pkg/cell/crash.go
+++ b/pkg/cell/crash.go
@@ -163,7 +163,7 @@
 // with their ages at the given time.
 func (p *Planner) crashedRuns(at time.Time, h *hosts.Host, slots []*hosts.Slot) []crashedRun {
 	var out []crashedRun
-	seen := map[sched.TaskRef]bool{}
+	index := map[sched.TaskRef]int{}
 	newest := newestPlacement(slots)
 	for _, s := range slots {
 		j := p.jobs[s.Task.Job]
@@ -172,10 +172,9 @@
 		}
 		r := crashedRun{job: j, task: crashUnit(j, s.Task)}
 		t := j.Task(r.task)
-		if t == nil || t.Done || seen[r.task] {
+		if t == nil || t.Done {
 			continue
 		}
-		seen[r.task] = true
 		r.Suspect, r.Crashes, r.UnsureCrashes, r.Started = t.Suspect, t.Crashes, t.UnsureCrashes, !s.StartedAt.IsZero()
 		switch {
 		case !s.OrderedAt.IsZero():
@@ -185,6 +184,13 @@
 		case !s.PlacedAt.IsZero():
 			r.Age = max(0, newest.Add(-crashNoticeTime).Sub(s.PlacedAt))
 		}
+		if k, member := index[r.task]; member {
+			if r.Started { // the gang has started if one member has
+				out[k] = r
+			}
+			continue
+		}
+		index[r.task] = len(out)
 		out = append(out, r)
 	}
 	return out
--- a/pkg/cell/crash_time_test.go
+++ b/pkg/cell/crash_time_test.go
@@ -141,3 +141,23 @@
 	i.Equal(r.recorded("bad").Crashes, 1)
 	i.True(!r.recorded("later").Suspect)
 }
+
+// Guards against a gang whose crashes count or not by which of its members is looked at first.
+func TestACrashUnderAGangCountsIfOneMemberHasStarted(t *testing.T) {
+	for n := range 20 {
+		i := is.New(t)
+		r := newRig(t)
+		r.list(worker(1))
+		r.start(r.startJob("other"), nil)
+		gang := step()
+		gang.Tasks, gang.Gang = 2, true
+		r.submit(job("gang", gang))
+		r.pass(25 * time.Millisecond)
+		r.commit()
+		s := r.starts()
+		i.Equal(len(s), 2)
+		r.start(s[n%2], nil)
+		r.restart(worker(1))
+		i.Equal(r.recorded("gang").Crashes, 1)
+	}
+}
