Test limits of the planner that no test of pkg/cell or lead guarded

A review changed single conditions of the planner, and the tests of pkg/cell and internal/process/lead still passed. Now each of these changes fails a test:

- maxLastResortUse at 0.3 or at 2 instead of 0.6: TestTasksOfABusyServiceWaitOutTheSuspicion.
- Host.FillerMix with crowded fillers: TestAThrottledFillerLeavesItsRoomToOthers.
- Placement beside unknown runs: TestATaskIsNotPlacedBesideAnUnknownRun.
Since placement and start orders share the condition, two older tests fail too.
- append without the case of a failed planner: TestAPlannerThatPanicsDuringAnAppendEndsItsTerm.

--- a/internal/process/lead/failure_test.go
+++ b/internal/process/lead/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +56,53 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// silentStore answers no append while silent is set.
+type silentStore struct {
+	sched.Store
+	silent atomic.Bool
+}
+
+func (s *silentStore) Append(c context.Context, p sched.Partition, at sched.Offset, r []sched.KeyedRecord) (sched.Offset, error) {
+	if s.silent.Load() {
+		<-c.Done()
+		return 0, sched.ErrUncertain
+	}
+	return s.Store.Append(c, p, at, r)
+}
+
+// Guards against a planner that has panicked and keeps its term for as long as the store
+// doesn't answer, or blocks when it panics again.
+func TestAPlannerThatPanicsDuringAnAppendEndsItsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		w := &world.World{Clock: clock.System{}, Seed: 1, Heartbeat: time.Second}
+		w.Begin()
+		c, stop := context.WithCancel(t.Context())
+		defer stop()
+		begun := make(chan struct{})
+		side := w.NewClient("entry-0", world.Path{}, world.Path{})
+		store := &silentStore{Store: side}
+		l := &lead.Leader{
+			Store: store, Runner: side, Clock: w.Clock, Options: cell.Options{LeaseLimit: 6 * time.Second},
+			Term: lead.Term{ID: "entry-0", Incarnation: 1}, OnBegin: func(sched.Offset) { close(begun) },
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(c) }()
+		<-begun
+		store.silent.Store(true)
+		time.Sleep(3 * time.Second) // the append of the heartbeat has no answer
+		i.True(l.Waiting())
+		l.Post(func() { panic("index out of range") })
+		l.Post(func() { panic("again") })
+		time.Sleep(time.Second)
+		select {
+		case err := <-ended:
+			i.True(errors.Is(err, lead.ErrPlannerFailed))
+		default:
+			t.Fatal("the term goes on")
+		}
+		stop()
+		time.Sleep(time.Second)
+	})
+}
--- a/pkg/cell/share_test.go
+++ b/pkg/cell/share_test.go
@@ -185,6 +185,41 @@
 	i.Equal(len(started), 1) // the others wait until it has ended, or for room
 }
 
+// Guards against a filler that waits though the serving tasks can bear it, since a
+// throttled one beside them counts as if it worked at full pace.
+func TestAThrottledFillerLeavesItsRoomToOthers(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	i.NoErr(r.planner.Learn(heavyFillers(1.5)))
+	serving := r.serveEverywhere(1)
+	var started []cell.StartCall
+	run := func(passes int) []cell.StartCall {
+		n := len(started)
+		for range passes {
+			r.pass(250 * time.Millisecond)
+			a := sched.LeaseAnswer{Running: []sched.RunningRun{running(serving["w1"], 100)}}
+			a.Running[0].Measurement = 9 // a load of 0.44
+			for _, f := range started {
+				a.Running = append(a.Running, running(f, 10)) // has used no processors yet
+			}
+			r.exchange("w1", a, nil)
+			r.commit()
+			for _, s := range r.starts() {
+				started = append(started, s)
+				r.start(s, nil)
+			}
+		}
+		return started[n:]
+	}
+	run(20)
+	r.submit(job("large", fillerStep()))
+	i.Equal(len(run(12)), 1) // adds 0.75 at full pace
+	small := fillerStep()
+	small.Needs.Processors = 2000 // adds 0.19
+	r.submit(job("small", small))
+	i.Equal(len(run(2)), 1)
+}
+
 // sharedWorkers simulates workers with a serving task each, whose load goes up and down,
 // and with fillers of which each takes 4 s at full pace.
 type sharedWorkers struct {
--- a/pkg/cell/stray_test.go
+++ b/pkg/cell/stray_test.go
@@ -130,6 +130,24 @@
 	i.Equal(len(r.starts()), 1)
 }
 
+// Guards against a task that is placed beside an unknown run over and over, with a record
+// each time, and given up before its start.
+func TestATaskIsNotPlacedBesideAnUnknownRun(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.list(worker(1))
+	r.pass(10 * time.Second)
+	other := sched.RunningRun{Task: sched.TaskRef{Job: "other"}, Run: 1}
+	r.exchange("w1", sched.LeaseAnswer{Running: []sched.RunningRun{other}}, nil)
+	r.submit(job("b", large()))
+	for range 5 {
+		r.commit()
+		r.pass(25 * time.Millisecond)
+	}
+	i.Equal(len(r.starts()), 0)
+	i.Equal(r.planner.Stats().Lost, int64(0))
+}
+
 // Guards against a worker with nothing but unknown runs that is asked about them only
 // seconds later, or whose lease is renewed for them.
 func TestAWorkerWithUnknownRunsIsWatchedWithoutALease(t *testing.T) {
--- a/pkg/cell/suspect_test.go
+++ b/pkg/cell/suspect_test.go
@@ -126,3 +126,28 @@
 	w.run(400 * time.Millisecond)
 	i.Equal(w.starts["a"]+w.starts["b"], 2)
 }
+
+// Guards against tasks on suspected workers of a busy service, where those that run would
+// pay for a task that fails.
+func TestTasksOfABusyServiceWaitOutTheSuspicion(t *testing.T) {
+	rows := []struct {
+		name    string
+		running int // tasks that take a sixteenth of the service each
+		starts  int
+	}{{"56% in use", 9, 1}, {"63% in use", 10, 0}}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			w := newFailingWorkers(t, worker(1))
+			s := step()
+			s.Tasks = row.running
+			w.submit(job("running", s))
+			w.run(time.Second)
+			i.Equal(w.starts["running"], row.running)
+			w.suspectAll()
+			w.submit(job("a", step()))
+			w.run(2900 * time.Millisecond)
+			i.Equal(w.starts["a"], row.starts)
+		})
+	}
+}
