--- a/internal/emu/audit/waiting_test.go
+++ b/internal/emu/audit/waiting_test.go
@@ -70,8 +70,7 @@
 	}
 }
 
-// Guards against an audit that overlooks runs which begin and end between two of its
-// checks, and against one that takes the run of one lasting task for that of another.
+// Guards against an audit that overlooks runs which begin and end between two checks.
 func TestAShortRunInterruptsTheWaitOfItsJob(t *testing.T) {
 	began := time.Date(2026, 9, 8, 12, 0, 0, 0, time.UTC)
 	rows := []struct {
--- a/pkg/cell/isolation_test.go
+++ b/pkg/cell/isolation_test.go
@@ -13,8 +13,7 @@
 // service is unused.
 const waitLimit = 3 * time.Second
 
-// Guards against tasks that are kept apart with each of their runs, and keep others off
-// their worker, since they were once on one that crashed.
+// Guards against tasks that are kept apart forever since they were on a worker that crashed.
 func TestASuspectWhoseRunsEndIsNotIsolatedForever(t *testing.T) {
 	i := is.New(t)
 	f := newCrashingFleet(t, 1)
@@ -38,8 +37,7 @@
 	}
 }
 
-// Guards against a suspect that keeps others off its worker for seconds, with room for
-// them and most of the service unused.
+// Guards against a suspect that keeps others off the only worker for seconds.
 func TestTasksDoNotWaitOutTheIsolationOfAllWorkers(t *testing.T) {
 	i := is.New(t)
 	f := newCrashingFleet(t, 1)
@@ -65,8 +63,7 @@
 	i.Equal(f.started[sched.TaskRef{Job: "later"}], 1)
 }
 
-// Guards against a suspect of a crash that is never started, though it may be innocent:
-// where tasks fail on all workers, or all serving tasks mind it.
+// Guards against a suspect of a crash that never starts, though it may be innocent.
 func TestASuspectStartsOnAWorkerThatSuitsItLess(t *testing.T) {
 	rows := []struct {
 		name   string
--- a/pkg/cell/share_test.go
+++ b/pkg/cell/share_test.go
@@ -188,8 +188,7 @@
 	i.Equal(len(started), 1) // the others wait until it has ended, or for room
 }
 
-// Guards against a filler that waits for as long as a throttled one of another job is on
-// each worker.
+// Guards against a filler that waits for the end of throttled ones of other jobs.
 func TestAFillerStartsThrottledBesideOthersThatAre(t *testing.T) {
 	i := is.New(t)
 	r := newRig(t)
--- a/pkg/cell/suspect_test.go
+++ b/pkg/cell/suspect_test.go
@@ -113,8 +113,7 @@
 	}
 }
 
-// Guards against a task that never starts again where it has failed, though no other
-// worker has room: others that fail there prolong the pause.
+// Guards against a task that waits for long to start again on the only worker with room.
 func TestATaskThatHasFailedOnTheOnlyWorkerStartsThereAgain(t *testing.T) {
 	i := is.New(t)
 	w := newFailingWorkers(t, worker(1))
@@ -133,8 +132,7 @@
 	i.Equal(w.starts["a"], 3)
 }
 
-// Guards against a task with its last attempt that waits for a worker which is suspected
-// for the failures of its own job only.
+// Guards against a last attempt that waits because of the failures of its own job.
 func TestAJobDoesNotWaitOutASuspicionThatItHasCaused(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		t.Run(fmt.Sprintf("gang=%t", gang), func(t *testing.T) {
@@ -174,8 +172,7 @@
 	i.Equal(w.starts["a"]+w.starts["b"], 2)
 }
 
-// Guards against tasks that wait for seconds since a long one probes the only worker with
-// room, and against tasks that go there before its result is due.
+// Guards against tasks that wait for seconds for the end of another one that takes long.
 func TestTasksDoNotWaitForTheEndOfALongProbe(t *testing.T) {
 	lasting := step()
 	lasting.Lasting, lasting.Tasks = true, 3
