--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -211,9 +211,9 @@
 }
 
 // trust reports whether tasks of a waiting step may be placed on the worker as far as
-// suspicion is concerned. Nothing may be placed on an isolated one. An overdue step may use a suspected
-// worker, and trust returns the evidence against it, which is above 0. There is one such
-// step at a time, unless it is long overdue.
+// suspicion is concerned. Nothing may be placed on an isolated one. An overdue step may
+// use a suspected worker, and trust returns the evidence against it, which is above 0.
+// There is one such step at a time, unless it is long overdue.
 func (p *Planner) trust(now time.Time, w *waitingStep, h *hosts.Host) (float64, bool) {
 	if isolated(now, h) {
 		return 0, false
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -156,9 +156,9 @@
 
 // noRoom holds the needs for which a pass has found no room. A step that needs as much
 // as one of them, or more, for as many tasks at the same time, can't be placed in that
-// pass either. In a burst a hundred
-// steps wait with different needs, and looking at all workers for each of them in every
-// pass took more processor time than a small instance has.
+// pass either. In a burst a hundred steps wait with different needs, and looking at all
+// workers for each of them in every pass took more processor time than a small instance
+// has.
 type noRoom []roomNeed
 
 // covers reports whether there is no room for the need.
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -43,19 +43,19 @@
 
 // Judge returns a verdict for each run that was on a worker when it crashed. The
 // suspects are the runs that had started just before the crash, or else all that
-// aren't known to be sound, and besides the only one that was a suspect before. A
-// crash at the same time as those of other workers has
-// a cause outside, unless a run had just started.
+// aren't known to be sound, and besides the only one that was a suspect before. A crash
+// at the same time as those of other workers has a cause outside, unless a run had just
+// started.
 //
 // If a planner has taken over before it reached the worker, it doesn't know when the
 // crash was and which runs had started. Then each run that may have started just
 // before counts, since its task would otherwise be started without end by planners that
 // end too.
 //
-// Any other run that isn't known to have started counts as started if nothing else explains
-// the crash. A single crash never gives a task up, since the tasks that started just before
-// it share the suspicion. The caller separates suspects, so that a second crash
-// tells which one it was.
+// Any other run that isn't known to have started counts as started if nothing else
+// explains the crash. A single crash never gives a task up, since the tasks that started
+// just before it share the suspicion. The caller separates suspects, so that a second
+// crash tells which one it was.
 func Judge(runs []Run, simultaneous bool) []Verdict {
 	fresh, unanswered, inherited, started, suspects := 0, 0, 0, 0, 0
 	for _, r := range runs {
