--- a/internal/process/lead/failure_test.go
+++ b/internal/process/lead/failure_test.go
@@ -342,20 +342,12 @@
 func TestAPlannerThatPanicsDuringAnAppendEndsItsTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		i := is.New(t)
-		w := &world.World{Clock: clock.System{}, Seed: 1, Heartbeat: time.Second}
-		w.Begin()
 		c, stop := context.WithCancel(t.Context())
 		defer stop()
-		begun := make(chan struct{})
-		side := w.NewClient("entry-0", world.Path{}, world.Path{})
-		store := &silentStore{Store: side}
-		l := &lead.Leader{
-			Store: store, Runner: side, Clock: w.Clock, Options: cell.Options{LeaseLimit: 6 * time.Second},
-			Term: lead.Term{ID: "entry-0", Incarnation: 1}, OnBegin: func(sched.Offset) { close(begun) },
-		}
-		ended := make(chan error, 1)
-		go func() { ended <- l.Run(c) }()
-		<-begun
+		l := newLeader(newWorld(), "entry-0")
+		store := &silentStore{Store: l.Store}
+		l.Store = store
+		ended := begin(c, l)
 		store.silent.Store(true)
 		time.Sleep(3 * time.Second) // the append of the heartbeat has no answer
 		i.True(l.Waiting())
