Report what the planner's thread is busy with

Cause: a planner that falls behind left no trace. Change: each message carries its kind and the time at which it was posted. A line plannerLoad tells the busy time, the longest wait and the largest kinds of work, at most once a second and only for a busy or late thread; three metrics have the same. The package busy sums it up. No decision is changed by this commit.

--- a/internal/emu/site/bench_test.go
+++ b/internal/emu/site/bench_test.go
@@ -8,9 +8,8 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/book"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -87,13 +86,13 @@
 	}
 }
 
-// processorTime returns the user and system time of this process so far.
+// processorTime returns the processor time of this process so far.
 func processorTime(b *testing.B) time.Duration {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+	d, err := busy.ProcessorTime()
+	if err != nil {
 		b.Fatal(err)
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return d
 }
 
 // BenchmarkGrownCell runs one cell of the large site in real time, with all of its
--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -90,7 +90,7 @@
 		Predecessor: lead.Term{ID: from.ID, Incarnation: from.Incarnation, Number: from.Term},
 	}
 	l.Options.PredecessorStopped = k.predecessorEnded(from)
-	l.OnStats = e.Meter.AddPlannerStats
+	l.OnStats, l.OnLoad = e.Meter.AddPlannerStats, e.Meter.AddPlannerLoad
 	l.OnBegin = func(term sched.Offset) {
 		e.Meter.TermBegan()
 		k.lead.Store(l)
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -54,7 +54,7 @@
 		Result: l.callResult(s.Worker, s.Order.Token, sent, err), Key: hosts.Key{Task: s.Order.Task, Run: s.Order.Run},
 		Answer: a,
 	}
-	l.post(func() { l.planner.Started(r.Received, r) })
+	l.post(workStarted, func() { l.planner.Started(r.Received, r) })
 }
 
 func (l *Leader) stop(s cell.StopCall) {
@@ -66,7 +66,7 @@
 		Result: l.callResult(s.Worker, s.Order.Token, sent, err), Key: hosts.Key{Task: s.Order.Task, Run: s.Order.Run},
 		Answer: a,
 	}
-	l.post(func() { l.planner.Stopped(r.Received, r) })
+	l.post(workStopped, func() { l.planner.Stopped(r.Received, r) })
 }
 
 func (l *Leader) pace(p cell.PaceCall) {
@@ -78,7 +78,7 @@
 		Result: l.callResult(p.Worker, p.Order.Token, sent, err), Key: hosts.Key{Task: p.Order.Task, Run: p.Order.Run},
 		Answer: a,
 	}
-	l.post(func() { l.planner.Paced(r.Received, r) })
+	l.post(workPaced, func() { l.planner.Paced(r.Received, r) })
 }
 
 func (l *Leader) lease(o cell.LeaseCall) {
@@ -90,7 +90,7 @@
 		Result: l.callResult(o.Worker, o.Order.Token, sent, err), AckedEnd: o.Order.RecordedEnd, Renewed: o.Order.Lease > 0,
 		Answer: a,
 	}
-	l.post(func() { l.planner.Leased(r.Received, r) })
+	l.post(workLeased, func() { l.planner.Leased(r.Received, r) })
 }
 
 // adviceTimeout bounds a call of the advisor, including the wait for earlier
@@ -102,24 +102,24 @@
 	defer cancel()
 	r := cell.AdviceResult{Call: a, Sent: l.Clock.Now()}
 	r.Tickets, r.Validity, r.Err = l.Advisor.Advise(x, a.Step, a.Workers)
-	l.post(func() { l.planner.Advised(l.Clock.Now(), r) })
+	l.post(workAdvised, func() { l.planner.Advised(l.Clock.Now(), r) })
 }
 
 // Submit passes a job to the planner and waits until the job is recorded or
 // refused. After an error other than ErrNotPlanner the job may have been recorded.
 func (l *Leader) Submit(c context.Context, j sched.Job) (sched.Verdict, error) {
-	return l.awaitVerdict(c, func(t cell.Ticket) { l.planner.Submit(l.Clock.Now(), t, j) })
+	return l.awaitVerdict(c, workSubmit, func(t cell.Ticket) { l.planner.Submit(l.Clock.Now(), t, j) })
 }
 
 // Cancel cancels a job and waits until that is recorded or refused. After an error
 // other than ErrNotPlanner the job may have been cancelled.
 func (l *Leader) Cancel(c context.Context, id sched.JobID) (sched.Verdict, error) {
-	return l.awaitVerdict(c, func(t cell.Ticket) { l.planner.Cancel(l.Clock.Now(), t, id) })
+	return l.awaitVerdict(c, workCancel, func(t cell.Ticket) { l.planner.Cancel(l.Clock.Now(), t, id) })
 }
 
-func (l *Leader) awaitVerdict(c context.Context, f func(cell.Ticket)) (sched.Verdict, error) {
+func (l *Leader) awaitVerdict(c context.Context, kind workKind, f func(cell.Ticket)) (sched.Verdict, error) {
 	v := make(chan sched.Verdict, 1)
-	err := l.ask(c, func() {
+	err := l.ask(c, kind, func() {
 		l.ticket++
 		l.tickets[l.ticket] = v
 		f(l.ticket)
@@ -143,7 +143,7 @@
 	var s sched.JobState
 	var f sched.JobFailure
 	var sure bool
-	err := l.ask(c, func() {
+	err := l.ask(c, workState, func() {
 		s, sure = l.planner.State(l.Clock.Now(), id)
 		f = l.planner.Failure(id)
 	})
@@ -161,7 +161,7 @@
 func (l *Leader) Pending(c context.Context) (map[sched.QueueName]int, error) {
 	var out map[sched.QueueName]int
 	var sure bool
-	err := l.ask(c, func() {
+	err := l.ask(c, workPending, func() {
 		var waiting map[sched.QueueName]int
 		waiting, sure = l.planner.Pending(l.Clock.Now())
 		out = maps.Clone(waiting)
@@ -178,15 +178,15 @@
 // WorkerListed tells the planner of a new or changed entry in the platform's list of
 // workers.
 func (l *Leader) WorkerListed(w sched.Worker) {
-	l.post(func() { l.planner.Listed(l.Clock.Now(), w) })
+	l.post(workListed, func() { l.planner.Listed(l.Clock.Now(), w) })
 }
 
 // WorkerUnlisted tells the planner that a worker's entry was removed from the list.
 func (l *Leader) WorkerUnlisted(id sched.InstanceID) {
-	l.post(func() { l.planner.Unlisted(l.Clock.Now(), id) })
+	l.post(workListed, func() { l.planner.Unlisted(l.Clock.Now(), id) })
 }
 
 // WorkersComplete tells the planner that the whole list of workers has been passed on.
 func (l *Leader) WorkersComplete() {
-	l.post(func() { l.planner.ListComplete(l.Clock.Now()) })
+	l.post(workListed, func() { l.planner.ListComplete(l.Clock.Now()) })
 }
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -13,6 +13,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -37,6 +38,9 @@
 	// OnStats is called about once a second and at the end of the term, with the
 	// planner's counters as of the previous call and as of now. It may be nil.
 	OnStats func(before, after cell.Stats)
+	// OnLoad is called at the same times with what the planner's actor has done since. It
+	// may be nil.
+	OnLoad func(busy.Report)
 	// OnAppendOverdue is called, in a goroutine of its own, when an append takes so long
 	// that the instance may not reach the store. There is at most one call at a
 	// time. It may be nil.
@@ -81,6 +85,10 @@
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
 	reportedStats cell.Stats
 	reportedAt    time.Time
+	// work measures the planner's actor, which is the only one to use it. processorTime is
+	// what this process had used at the newest report.
+	work          *busy.Meter
+	processorTime time.Duration
 }
 
 // tickInterval is the interval between two calls of the planner's Tick.
@@ -125,6 +133,7 @@
 	}
 	l.tickets = map[cell.Ticket]chan sched.Verdict{}
 	l.begunAt = l.Clock.Now()
+	l.work = busy.New(l.begunAt)
 	l.appends, l.stopped = make(chan []sched.KeyedRecord, 1), make(chan struct{})
 	l.supersededBy, l.retryRequested = make(chan Term, 1), make(chan struct{}, 1)
 	l.failure = make(chan error, 1)
@@ -218,7 +227,7 @@
 	l.actorEnded = make(chan struct{})
 	l.pid = l.system.Root.Spawn(actor.PropsFromFunc(func(x actor.Context) {
 		switch m := x.Message().(type) {
-		case func():
+		case message:
 			l.handle(m)
 		case *actor.Stopped:
 			close(l.actorEnded)
@@ -226,9 +235,9 @@
 	}))
 }
 
-// handle runs f and carries out the effects. A panic ends the term: the planner's
-// state can't be trusted any more, and nothing may be done with it.
-func (l *Leader) handle(f func()) {
+// handle does the work of a message and carries out the effects. A panic ends the term:
+// the planner's state can't be trusted any more, and nothing may be done with it.
+func (l *Leader) handle(m message) {
 	if l.failed.Load() {
 		return
 	}
@@ -238,7 +247,8 @@
 			l.fail(l.plannerFailed(r))
 		}
 	}()
-	f()
+	l.work.Waited(l.Clock.Now().Sub(m.postedAt))
+	l.measure(m.kind, m.run)
 	l.applyEffects()
 }
 
@@ -253,16 +263,18 @@
 }
 
 // post runs f in the planner's actor, without waiting for it.
-func (l *Leader) post(f func()) { l.system.Root.Send(l.pid, f) }
+func (l *Leader) post(kind workKind, f func()) {
+	l.system.Root.Send(l.pid, message{kind, l.Clock.Now(), f})
+}
 
 // ask runs f in the planner's actor and waits until it has returned. With ErrNotPlanner
 // f was not run; after any other error it may have run or may still run.
-func (l *Leader) ask(c context.Context, f func()) error {
+func (l *Leader) ask(c context.Context, kind workKind, f func()) error {
 	if l.finished.Load() {
 		return ErrNotPlanner
 	}
 	done := make(chan struct{})
-	l.post(func() { f(); close(done) })
+	l.post(kind, func() { f(); close(done) })
 	select {
 	case <-done:
 		return nil
@@ -287,7 +299,7 @@
 			l.Log.Error("plannerStuck", zap.Duration("after", d), zap.String("stacks", actorStacks()))
 			l.fail(fmt.Errorf("%w: no message handled for %v", ErrPlannerFailed, d))
 		}
-		l.post(func() {
+		l.post(workTick, func() {
 			l.planner.Tick(l.Clock.Now())
 			l.report(now, statsInterval)
 		})
@@ -297,26 +309,36 @@
 // statsInterval is the least time between two calls of OnStats during a term.
 const statsInterval = time.Second
 
-// report calls OnStats if the last call was at least the pause ago. It runs in the
-// planner's actor, or after that has ended.
+// report calls OnStats and OnLoad if the last call was at least the pause ago. It runs in
+// the planner's actor, or after that has ended.
 func (l *Leader) report(now time.Time, pause time.Duration) {
-	if l.OnStats == nil || now.Sub(l.reportedAt) < pause {
+	if now.Sub(l.reportedAt) < pause {
+		return
+	}
+	l.reportedAt = now
+	l.reportLoad(now)
+	if l.OnStats == nil {
 		return
 	}
 	done := l.planner.Stats()
 	l.OnStats(l.reportedStats, done)
-	l.reportedStats, l.reportedAt = done, now
+	l.reportedStats = done
 }
 
-// applyEffects has the planner write a batch and carries out the effects that it
-// has produced: an append, replies to callers, orders to workers and calls of the
-// advisor.
+// applyEffects has the planner place waiting tasks and write a batch, and carries out the
+// effects that it has produced: an append, replies to callers, orders to workers and
+// calls of the advisor.
 func (l *Leader) applyEffects() {
 	if l.finished.Load() {
 		return
 	}
-	l.planner.Flush(l.Clock.Now())
+	l.measure(workFlush, func() { l.planner.Flush(l.Clock.Now()) })
 	e := l.planner.TakeEffects()
+	l.measure(workEffects, func() { l.carryOut(e) })
+}
+
+// carryOut carries out the effects, unless the term has ended.
+func (l *Leader) carryOut(e cell.Effects) {
 	l.effects.Lock()
 	defer l.effects.Unlock()
 	if l.failed.Load() || l.finished.Load() {
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -90,6 +91,17 @@
 	}
 }
 
+// AddPlannerLoad adds what the thread of a planner has done in a period to the counters of
+// its work.
+func (m *Meter) AddPlannerLoad(r busy.Report) {
+	for _, w := range r.Works {
+		label := fmt.Sprintf("{work=%q}", w.Kind)
+		m.set.GetOrCreateFloatCounter(plannerSeconds + label).Add(w.Time.Seconds())
+		m.set.GetOrCreateCounter(plannerWorks + label).Add(int(w.Count))
+	}
+	m.set.GetOrCreateHistogram(plannerWait).Update(r.LongestWait.Seconds())
+}
+
 // resultOf returns the result label of a call from its error. An append at an
 // offset that is no longer the end of the partition is "moved".
 func resultOf(err error) string {
--- a/internal/process/meter/meter_test.go
+++ b/internal/process/meter/meter_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/store"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/meter"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
@@ -40,6 +41,7 @@
 	_, err = s.Append(context.Background(), sched.Partition{Topic: "t"}, 0, r)
 	i.True(err != nil)
 	m.AddPlannerStats(cell.Stats{Starts: 2}, cell.Stats{Starts: 7})
+	m.AddPlannerLoad(busy.Report{LongestWait: time.Second, Works: []busy.Work{{Kind: "tick", Count: 3, Time: 1500 * time.Millisecond}}})
 	m.TermBegan()
 	zero := func() float64 { return 0 }
 	m.RegisterGauges(meter.Gauges{Cells: zero, Catalog: zero, Ready: func() float64 { return 1 }, LinesDropped: zero})
@@ -48,7 +50,8 @@
 	for _, want := range []string{
 		`parsleybarrow_store_appends_total{result="ok"} 1`, `parsleybarrow_store_appends_total{result="moved"} 1`,
 		`parsleybarrow_planner_total{what="starts"} 5`, `parsleybarrow_terms_total 1`, `parsleybarrow_entry_ready 1`,
-		`parsleybarrow_store_append_duration_seconds_count 2`,
+		`parsleybarrow_store_append_duration_seconds_count 2`, `parsleybarrow_planner_busy_seconds_total{work="tick"} 1.5`,
+		`parsleybarrow_planner_works_total{work="tick"} 3`, `parsleybarrow_planner_longest_wait_seconds_count 1`,
 	} {
 		if !strings.Contains(b.String(), want) {
 			t.Errorf("%s is missing", want)
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -15,6 +15,9 @@
 		{ordersTotal, "counter", "Orders to workers by order (start, stop, pace, lease) and result: ok, refused, unavailable, uncertain."},
 		{orderSeconds, "histogram", "Time of an order, by order. A lease may wait at the worker."},
 		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers)."},
+		{plannerSeconds, "counter", "Time in which the thread of a planner here was busy, by work: the kind of message, flush (placing and records) and effects (orders). Near 1 a second it is overloaded."},
+		{plannerWorks, "counter", "Messages and other works behind that time, by work."},
+		{plannerWait, "histogram", "Longest time that a message waited for that thread, once a second."},
 		{termsTotal, "counter", "Terms that planners here began."},
 		{cellsPlanned, "gauge", "Cells that are planned here."},
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
@@ -33,6 +36,9 @@
 	ordersTotal    = "parsleybarrow_worker_orders_total"
 	orderSeconds   = "parsleybarrow_worker_order_duration_seconds"
 	plannerTotal   = "parsleybarrow_planner_total"
+	plannerSeconds = "parsleybarrow_planner_busy_seconds_total"
+	plannerWorks   = "parsleybarrow_planner_works_total"
+	plannerWait    = "parsleybarrow_planner_longest_wait_seconds"
 	termsTotal     = "parsleybarrow_terms_total"
 	cellsPlanned   = "parsleybarrow_cells_planned"
 	catalogVersion = "parsleybarrow_catalog_version"
