--- a/internal/emu/audit/audit.go
+++ b/internal/emu/audit/audit.go
@@ -126,8 +126,8 @@
 	// acknowledgedFailures counts the failures whose end was acknowledged.
 	acknowledgedFailures int
 	checkpoints          map[sched.CheckpointID]bool
-	// lastRunAt is when a run last ended.
-	lastRunAt time.Time
+	// firstStart is when the first run started, and lastRunAt when a run last ended.
+	firstStart, lastRunAt time.Time
 }
 
 type activeRun struct {
@@ -169,6 +169,14 @@
 	return a.starts, a.tasksDone
 }
 
+// FirstStart returns when the first run of a task started, and whether one has.
+func (a *Audit) FirstStart(r sched.TaskRef) (time.Time, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.taskOf(r)
+	return t.firstStart, !t.firstStart.IsZero()
+}
+
 func (a *Audit) taskOf(r sched.TaskRef) *taskRecord {
 	if a.tasks == nil {
 		a.tasks, a.calls = map[sched.TaskRef]*taskRecord{}, map[sched.JobID]*callRecord{}
@@ -200,6 +208,9 @@
 	defer a.mu.Unlock()
 	a.starts++
 	t := a.taskOf(k.Task)
+	if t.firstStart.IsZero() {
+		t.firstStart = at
+	}
 	truth, step, known := a.Jobs.Step(k.Task)
 	if !known {
 		a.report(at, Unasked, "%v run %d on %s: no such task was submitted", k.Task, k.Run, w.ID)
--- a/internal/emu/site/site.go
+++ b/internal/emu/site/site.go
@@ -30,6 +30,8 @@
 	// AgentsFrom is the number of workers of a cell from which on other instances
 	// carry out its planner's orders.
 	AgentsFrom int
+	// Spend emulates the processor time of the planners, see lead.Leader. It may be nil.
+	Spend func(before, after cell.Stats)
 	// Delay is the one-way delay between two instances, and to the platform.
 	Delay time.Duration
 
@@ -81,7 +83,7 @@
 		PeerClient: &http.Client{Transport: &peerTransport{s, p}},
 		Store:      side, Registry: side, Runner: side, Clock: s.World.Clock,
 		Log: s.Log.With(zap.String("instance", string(id))), WorkersPerCell: s.WorkersPerCell,
-		AgentsFrom: s.AgentsFrom,
+		AgentsFrom: s.AgentsFrom, Spend: s.Spend,
 	}
 	e.Reload(s.Options, 3*time.Second)
 	p.entry = e
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -49,6 +49,9 @@
 	Log      *zap.Logger
 	// Meter counts the calls of the instance. If it is nil, Run sets one.
 	Meter *meter.Meter
+	// Spend emulates the processor time of the planners here, see lead.Leader. It is nil on
+	// a real processor.
+	Spend func(before, after cell.Stats)
 	// LinesDropped returns the number of log lines dropped so far. It may be nil.
 	LinesDropped func() int64
 	// WorkersPerCell is the number of workers per cell from which the number of
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -41,6 +41,10 @@
 	// OnLoad is called at the same times with what the planner's actor has done since. It
 	// may be nil.
 	OnLoad func(busy.Report)
+	// Spend is called by the planner's actor after each message with what the planner has
+	// done for it, and returns once an emulated processor has done as much. It is nil on
+	// a real one.
+	Spend func(before, after cell.Stats)
 	// OnAppendOverdue is called, in a goroutine of its own, when an append takes so long
 	// that the instance may not reach the store. There is at most one call at a
 	// time. It may be nil.
@@ -248,8 +252,12 @@
 		}
 	}()
 	l.work.Waited(l.Clock.Now().Sub(m.postedAt))
+	before := l.planner.Stats()
 	l.measure(m.kind, m.run)
 	l.applyEffects()
+	if l.Spend != nil {
+		l.measure(workEmulated, func() { l.Spend(before, l.planner.Stats()) })
+	}
 }
 
 // fail ends the term with the error. Once it has returned, no effect of the planner is
@@ -317,11 +325,10 @@
 	}
 	l.reportedAt = now
 	l.reportLoad(now)
-	if l.OnStats == nil {
-		return
-	}
 	done := l.planner.Stats()
-	l.OnStats(l.reportedStats, done)
+	if l.OnStats != nil {
+		l.OnStats(l.reportedStats, done)
+	}
 	l.reportedStats = done
 }
 
--- a/internal/process/lead/work.go
+++ b/internal/process/lead/work.go
@@ -30,6 +30,8 @@
 	// replies and orders on.
 	workFlush   workKind = "flush"
 	workEffects workKind = "effects"
+	// workEmulated is what Spend takes.
+	workEmulated workKind = "emulated"
 )
 
 // message asks the planner's actor to run a function.
@@ -68,6 +70,7 @@
 		fields := []zap.Field{
 			zap.Duration("period", r.Period), zap.Duration("busy", r.Busy), zap.Duration("wait", r.LongestWait),
 			zap.Duration("processorTime", used-l.processorTime), zap.Duration("lag", l.lag.recent()),
+			zap.Int64("ratings", l.planner.Stats().Ratings-l.reportedStats.Ratings),
 		}
 		for _, w := range r.Works[:min(len(r.Works), loggedWorks)] {
 			fields = append(fields, zap.Int64(w.Kind+"Count", w.Count), zap.Duration(w.Kind, w.Time))
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -85,6 +85,7 @@
 		{"heldUp", before.HeldUp, after.HeldUp},
 		{"crashes", before.Crashes, after.Crashes},
 		{"givenUp", before.GivenUp, after.GivenUp},
+		{"ratings", before.Ratings, after.Ratings},
 	}
 	for _, r := range rows {
 		m.set.GetOrCreateCounter(fmt.Sprintf("%s{what=%q}", plannerTotal, r.what)).Add(int(r.after - r.before))
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -68,6 +68,7 @@
 // rate scores a worker, and reports whether a task may go there.
 func (r *ranking) rate(h *hosts.Host) (scoredWorker, bool) {
 	p, c := r.planner, scoredWorker{Host: h}
+	p.stats.Ratings++
 	// The room is compared first: it is the cheapest test and fails most often.
 	if !r.step.Counted().Fits(p.roomFor(r.waitingStep, h)) || !p.inService(r.now, h, r.waitingStep.job.Queue.Service, r.step) ||
 		p.atTaskLimit(r.waitingStep, r.step, h) || !p.hasTicket(r.now, r.waitingStep, h) {
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -125,12 +125,13 @@
 // not those for runs that the planner doesn't know. NoRoom counts starts that a
 // worker refused for lack of room, Moves the paused fillers that were stopped to run
 // elsewhere, Copies the speculative copies, HeldUp the tasks that waited for
-// heldUpDelay though a worker had room, Crashes the crashes of workers under runs, and
-// GivenUp the jobs that failed because a task crashed its workers.
+// heldUpDelay though a worker had room, Crashes the crashes of workers under runs, GivenUp
+// the jobs that failed because a task crashed its workers, and Ratings how often a worker
+// was rated for the tasks of a step.
 type Stats struct {
 	Accepted, Refused, Starts, Ends, Failed, Lost, Stops int64
 	NoRoom, Paces, Moves, Copies, HeldUp                 int64
-	Crashes, GivenUp                                     int64
+	Crashes, GivenUp, Ratings                            int64
 }
 
 // job is the durable state of a job with the part that the planner keeps in
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -125,6 +125,7 @@
 func (p *Planner) fillerRoomElsewhere(now time.Time, s *hosts.Slot) *hosts.Host {
 	service := p.jobs[s.Task.Job].Queue.Service
 	for _, h := range p.workers {
+		p.stats.Ratings++
 		if !p.usable(now, h, service, s.Step) || !s.Step.Counted().Fits(h.Free()) {
 			continue
 		}
