Don't rate workers again that have no room for a filler

Callers of the large site saw quick jobs that weren't served during and long after a burst of fillers: the planner's thread was full. Each pass rated all 890 workers for each of some thirty images that waited, 40 times a second, and each paused filler searched all workers with each report of its own. So the work grew with the backlog that it was to clear: an overload that feeds itself. Change: pkg/misfit remembers for each image the workers without room, by the needs from which on there is none, until a run has gone there or the worker has reported. A search for another worker for a paused filler that finds none isn't repeated for its image for a second. Place and Flush are measured apart.

--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -339,6 +339,7 @@
 	if l.finished.Load() {
 		return
 	}
+	l.measure(workPlace, func() { l.planner.Place(l.Clock.Now()) })
 	l.measure(workFlush, func() { l.planner.Flush(l.Clock.Now()) })
 	e := l.planner.TakeEffects()
 	l.measure(workEffects, func() { l.carryOut(e) })
--- a/internal/process/lead/work.go
+++ b/internal/process/lead/work.go
@@ -8,7 +8,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 )
 
-// workKind is a kind of work of the planner's actor: that of a message, or one of the two
+// workKind is a kind of work of the planner's actor: that of a message, or one of the
 // parts that follow each message.
 type workKind string
 
@@ -26,8 +26,9 @@
 	workCancel   workKind = "cancel"
 	workState    workKind = "state"
 	workPending  workKind = "pending"
-	// workFlush places waiting tasks and encodes records, workEffects hands appends,
-	// replies and orders on.
+	// workPlace places waiting tasks, workFlush encodes records, and workEffects hands
+	// appends, replies and orders on.
+	workPlace   workKind = "place"
 	workFlush   workKind = "flush"
 	workEffects workKind = "effects"
 	// workEmulated is what Spend takes.
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -15,7 +15,7 @@
 		{ordersTotal, "counter", "Orders to workers by order (start, stop, pace, lease) and result: ok, refused, unavailable, uncertain."},
 		{orderSeconds, "histogram", "Time of an order, by order. A lease may wait at the worker."},
 		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers), ratings (of a worker for the tasks of a step)."},
-		{plannerSeconds, "counter", "Time in which the thread of a planner here was busy, by work: the kind of message, flush (placing and records) and effects (orders). Near 1 a second it is overloaded."},
+		{plannerSeconds, "counter", "Time in which the thread of a planner here was busy, by work: the kind of message, place (of waiting tasks), flush (records) and effects (orders). Near 1 a second it is overloaded."},
 		{plannerWorks, "counter", "Messages and other works behind that time, by work."},
 		{plannerWait, "histogram", "Longest time that a message waited for that thread, once a second."},
 		{termsTotal, "counter", "Terms that planners here began."},
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -56,15 +56,21 @@
 	number int64
 }
 
-// Flush places waiting tasks and adds one batch of records to the effects. Jobs whose
-// records would make the batch larger than Options.BatchLimit are left for the next
-// one. Flush does nothing while an earlier batch is being appended. The owner calls it
-// after every event.
+// Place places waiting tasks, unless a batch is being appended. The owner calls it after
+// every event, and Flush after it.
+func (p *Planner) Place(now time.Time) {
+	if p.inFlight == nil {
+		p.placeWaiting(now)
+	}
+}
+
+// Flush adds one batch of records to the effects. Jobs whose records would make the batch
+// larger than Options.BatchLimit are left for the next one. Flush does nothing while an
+// earlier batch is being appended.
 func (p *Planner) Flush(now time.Time) {
 	if p.inFlight != nil {
 		return
 	}
-	p.placeWaiting(now)
 	if len(p.dirtyJobs) == 0 && len(p.expiredJobs) == 0 {
 		// Ends that changed no job need no record.
 		for _, n := range p.unacknowledgedEnds() {
--- a/pkg/cell/batch_test.go
+++ b/pkg/cell/batch_test.go
@@ -33,6 +33,7 @@
 	}
 	batches := 0
 	for {
+		r.planner.Place(r.now)
 		r.planner.Flush(r.now)
 		e := r.planner.TakeEffects()
 		size := 0
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
+	"github.com/parsleybarrow/parsleybarrow/pkg/misfit"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -22,6 +23,7 @@
 
 // chooseWorker returns the best worker for a task, nil if none has room.
 func (p *Planner) chooseWorker(now time.Time, w *waitingStep, index int) *hosts.Host {
+	p.copyGains()
 	return p.rank(now, w).best(index).Host
 }
 
@@ -33,6 +35,9 @@
 	waitingStep *waitingStep
 	// step is the description of that step.
 	step *sched.Step
+	// misfits holds the workers without room for the tasks if they are compared with the
+	// tasks beside them, nil otherwise.
+	misfits *misfit.Row
 	// rack is the preferred rack, empty if there is none.
 	rack string
 	// candidates are the workers with room for a task.
@@ -53,11 +58,18 @@
 	return s.score > o.score || s.score == o.score && s.ID < o.ID
 }
 
-// rank scores all workers that have room for a task of the step.
+// rank scores all workers that have room for a task of the step. gains must be up to date.
 func (p *Planner) rank(now time.Time, w *waitingStep) *ranking {
 	r := &ranking{planner: p, now: now, waitingStep: w, step: &w.job.Steps[w.step]}
+	if comparesBeside(r.step) {
+		r.misfits = p.misfits.Row(r.step.Image)
+	}
 	r.rack = p.preferredRack(w, r.step)
-	for _, h := range p.workers {
+	skipMisfits := r.misfits != nil && !w.overdue
+	for n, h := range p.workerList {
+		if skipMisfits && r.misfits.Has(n, p.gains[n], r.step.Needs.Processors, r.step.Needs.Memory) {
+			continue
+		}
 		if c, fits := r.rate(h); fits {
 			r.candidates = append(r.candidates, c)
 		}
@@ -70,7 +82,13 @@
 	p, c := r.planner, scoredWorker{Host: h}
 	p.stats.Ratings++
 	// The room is compared first: it is the cheapest test and fails most often.
-	if !r.step.Counted().Fits(p.roomFor(r.waitingStep, h)) || !p.inService(r.now, h, r.waitingStep.job.Queue.Service, r.step) ||
+	if !r.step.Counted().Fits(p.roomFor(r.waitingStep, h)) {
+		if r.misfits != nil && r.step.Needs.Memory > h.Free().Memory {
+			r.misfits.AddFull(h.Place, h.Gains, r.step.Needs.Memory)
+		}
+		return c, false
+	}
+	if !p.inService(r.now, h, r.waitingStep.job.Queue.Service, r.step) ||
 		p.atTaskLimit(r.waitingStep, r.step, h) || !p.hasTicket(r.now, r.waitingStep, h) {
 		return c, false
 	}
@@ -79,6 +97,9 @@
 		return c, false
 	}
 	c.score, fits = p.score(h, waitingStepRef(r.waitingStep), r.step)
+	if !fits && r.misfits != nil {
+		r.misfits.AddDisturbing(h.Place, h.Gains, r.step.Needs.Processors)
+	}
 	if !fits && r.waitingStep.overdue {
 		c.score, c.crowded, fits = p.crowdedScore(h, r.step)-lastResortPenalty, true, true
 	}
@@ -175,6 +196,10 @@
 	}
 }
 
+// comparesBeside reports whether placement compares a task of the step with those beside it:
+// it is a filler that doesn't serve users itself.
+func comparesBeside(s *sched.Step) bool { return s.Filler && s.TailGoal == 0 }
+
 // score returns the score of a worker for a task of the step, and whether the
 // task may go there as far as the tasks beside it are concerned. Scores of one
 // kind of step are in shares of a worker.
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -23,6 +23,8 @@
 		return
 	}
 	p.placedAt = now
+	p.misfits.BeginPass()
+	p.copyGains()
 	for _, w := range p.waitingSteps {
 		w.claim = p.claimOf(now, w.job, w.occurrence.Number, w.step)
 	}
@@ -52,6 +54,14 @@
 	p.waitingSteps = rest
 }
 
+// copyGains brings gains up to date.
+func (p *Planner) copyGains() {
+	p.gains = p.gains[:0]
+	for _, h := range p.workerList {
+		p.gains = append(p.gains, h.Gains)
+	}
+}
+
 // dropSettled takes the tasks off the waiting list that are done or have a run. Only
 // tasks without either may be placed, whatever queued them.
 func (w *waitingStep) dropSettled() {
@@ -148,7 +158,7 @@
 	switch {
 	case s.Gang:
 		n.members = s.Tasks
-	case s.Filler && s.TailGoal == 0:
+	case comparesBeside(s):
 		n.filler, n.image, n.needs = true, s.Image, s.Needs
 	}
 	return n
--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -155,8 +155,8 @@
 			zap.String("worker", string(h.ID)), zap.Bool("still", late.stalled), zap.Int("percent", s.Percent),
 			zap.Duration("left", left), zap.Duration("expected", expected), zap.Float64("rate", s.Rate()),
 			zap.Int64("figure", s.Figure), zap.Int64("needs", s.Step.Needs.Processors),
-			zap.Bool("filler", s.Step.Filler), zap.Float64("spare", p.fillerRoom(h).idle),
-			zap.Float64("wanted", p.fillerRoom(h).demand))
+			zap.Bool("filler", s.Step.Filler), zap.Float64("spare", h.FillerRoom(p.interference).Idle),
+			zap.Float64("wanted", h.FillerRoom(p.interference).Demand))
 		if !s.Step.Filler {
 			p.judge.AttemptEnded(now, h.ID, sched.TaskID(s.Task.String()), failureKind(j, s.Step), sched.AttemptFailed)
 		}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -9,6 +9,7 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/fleet"
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
 	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
+	"github.com/parsleybarrow/parsleybarrow/pkg/misfit"
 	"github.com/parsleybarrow/parsleybarrow/pkg/order"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/share"
@@ -59,6 +60,14 @@
 	jobs map[sched.JobID]*job
 	// workers holds every worker that is listed or may have runs.
 	workers map[sched.InstanceID]*hosts.Host
+	// workerList holds the same in an order that only changes with the workers, each at its
+	// Place.
+	workerList []*hosts.Host
+	// misfits remembers which workers have no room for the fillers that wait, and gains is
+	// a copy of Gains of each worker in workerList, as of the begin of a pass. Nearly all
+	// comparisons of a pass take only these two.
+	misfits *misfit.Table
+	gains   []int
 	// fleet tells which steps no worker could run.
 	fleet *fleet.Fleet
 	// dirtyJobs are the jobs whose records the next batch writes.
@@ -100,8 +109,9 @@
 	stats Stats
 	// interference estimates how much fillers disturb serving tasks.
 	interference *share.Model
-	// fillerRooms caches what fillerRoom computes for each worker.
-	fillerRooms map[sched.InstanceID]fillerRoom
+	// noRoomElsewhere holds, for each image of fillers, when no worker had room for a paused
+	// one.
+	noRoomElsewhere map[string]time.Time
 	// runTimes estimates how long tasks take.
 	runTimes *order.RunTimes
 	// judge suspects workers on which tasks fail that run elsewhere.
@@ -200,12 +210,12 @@
 // that earlier planners may have granted have ended.
 func New(now time.Time, restored []*jobs.Job, o Options) *Planner {
 	p := &Planner{
-		options: o, jobs: map[sched.JobID]*job{}, workers: map[sched.InstanceID]*hosts.Host{}, fleet: fleet.New(),
+		options: o, jobs: map[sched.JobID]*job{}, workers: map[sched.InstanceID]*hosts.Host{}, fleet: fleet.New(), misfits: misfit.New(),
 		scheduledJobs: map[sched.JobID]*job{}, pendingByQueue: map[sched.QueueName]int{},
 		interference: share.NewModel(), runTimes: order.NewRunTimes(),
 		judge: suspct.NewWithTiming(suspicionPauses), countedGangRuns: map[sched.StepRef]int{},
-		advice: map[sched.StepRef]*stepAdvice{}, service: map[string]sched.ServiceRules{},
-		fillerRooms: map[sched.InstanceID]fillerRoom{}, provenAt: now,
+		advice: map[sched.StepRef]*stepAdvice{}, noRoomElsewhere: map[string]time.Time{}, service: map[string]sched.ServiceRules{},
+		provenAt:          now,
 		inheritedLeaseEnd: now.Add(o.LeaseLimit + leaseClockMargin),
 	}
 	if !o.PredecessorStopped {
@@ -300,11 +310,23 @@
 	h := p.workers[id]
 	if h == nil {
 		h = hosts.New(sched.Worker{ID: id}, p.inheritedLeaseEnd, p.droppedBumps)
-		p.workers[id] = h
+		h.Place = len(p.workerList)
+		p.workers[id], p.workerList = h, append(p.workerList, h)
 	}
 	return h
 }
 
+// dropWorker drops a worker without runs. The last one of workerList takes its place.
+func (p *Planner) dropWorker(h *hosts.Host) {
+	n := len(p.workerList) - 1
+	last := p.workerList[n]
+	p.misfits.Forget(h.Place)
+	p.misfits.Forget(last.Place)
+	last.Place, p.workerList[h.Place], p.workerList[n] = h.Place, last, nil
+	p.workerList = p.workerList[:n]
+	delete(p.workers, h.ID)
+}
+
 // markDirty adds the job to the next batch.
 func (p *Planner) markDirty(j *job) {
 	if !j.dirty {
--- a/pkg/cell/rig_test.go
+++ b/pkg/cell/rig_test.go
@@ -57,6 +57,7 @@
 
 // settle flushes the planner and collects its effects.
 func (r *rig) settle() {
+	r.planner.Place(r.now)
 	r.planner.Flush(r.now)
 	e := r.planner.TakeEffects()
 	if len(e.Append) > 0 {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -215,12 +215,11 @@
 	for _, j := range p.scheduledJobs {
 		p.openOccurrences(now, j)
 	}
-	for id, h := range p.workers {
+	for _, h := range p.workers {
 		p.tickWorker(now, h)
 		if mayDrop(now, h) {
 			p.droppedBumps = max(p.droppedBumps, h.Bumps())
-			delete(p.workers, id)
-			delete(p.fillerRooms, id)
+			p.dropWorker(h)
 		}
 	}
 	p.expireJobs(now)
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -80,6 +80,10 @@
 	// minMoveSlack is the utilization that the serving tasks elsewhere must be
 	// able to bear besides the filler.
 	minMoveSlack = 0.05
+	// roomSearchInterval is the time between two searches of all workers for room for
+	// paused fillers of an image, if the first finds none. Each worker reports about once
+	// in that time.
+	roomSearchInterval = time.Second
 )
 
 // movePausedFiller stops one filler that has paused for maxFillerPause if another
@@ -123,6 +127,9 @@
 // fillerRoomElsewhere returns a worker whose serving tasks can bear the filler
 // with minMoveSlack to spare, nil if there is none.
 func (p *Planner) fillerRoomElsewhere(now time.Time, s *hosts.Slot) *hosts.Host {
+	if now.Sub(p.noRoomElsewhere[s.Step.Image]) < roomSearchInterval {
+		return nil
+	}
 	service := p.jobs[s.Task.Job].Queue.Service
 	for _, h := range p.workers {
 		p.stats.Ratings++
@@ -130,10 +137,11 @@
 			continue
 		}
 		part := h.ProcessorShare(s.Step.Needs.Processors)
-		if v := p.fillerRoom(h); v.room.SlackWith(s.Step.Image, part) >= minMoveSlack && v.idle >= v.demand+part {
+		if v := h.FillerRoom(p.interference); v.SlackWith(s.Step.Image, part) >= minMoveSlack && v.Idle >= v.Demand+part {
 			return h
 		}
 	}
+	p.noRoomElsewhere[s.Step.Image] = now
 	return nil
 }
 
@@ -183,7 +191,9 @@
 // beside it. At most 0.3 of that utilization counts, so that in a flood of fillers
 // those that disturb little don't take the workers that can bear the others.
 func (p *Planner) fillerScore(h *hosts.Host, step sched.Step) (float64, bool) {
-	slack, speed := p.slackWith(h, &step), p.fillerSpeed(h, &step)
+	part := h.ProcessorShare(step.Needs.Processors)
+	v := h.FillerRoom(p.interference)
+	slack, speed := v.SlackWith(step.Image, part), v.Speed(part)
 	if slack < 0 || speed < minFillerSpeed {
 		return 0, false
 	}
@@ -209,59 +219,12 @@
 			throttled++
 		}
 	}
-	score := min(0.3, p.slackWith(h, step)) + speedWeight*p.fillerSpeed(h, step)
+	part := h.ProcessorShare(step.Needs.Processors)
+	v := h.FillerRoom(p.interference)
+	score := min(0.3, v.SlackWith(step.Image, part)) + speedWeight*v.Speed(part)
 	return max(minCrowdedScore, score) - throttledPenalty*float64(throttled)
 }
 
-// slackWith returns the least slack of the serving tasks on a worker with another
-// filler task of the step beside them.
-func (p *Planner) slackWith(h *hosts.Host, step *sched.Step) float64 {
-	return p.fillerRoom(h).room.SlackWith(step.Image, h.ProcessorShare(step.Needs.Processors))
-}
-
-// fillerSpeed returns the share of its full speed that another filler task of the step
-// would have on a worker.
-func (p *Planner) fillerSpeed(h *hosts.Host, step *sched.Step) float64 {
-	v := p.fillerRoom(h)
-	return min(1, v.idle/(v.demand+h.ProcessorShare(step.Needs.Processors)))
-}
-
-// fillerRoom is the room of a worker for fillers.
-type fillerRoom struct {
-	// version is the Version of the worker for which the room was computed.
-	version int
-	// room is the utilization that the serving tasks can bear beside the
-	// present fillers.
-	room share.Room
-	// idle is the share of the worker's processors that the other tasks leave
-	// unused, and demand the share that the present fillers would use.
-	idle, demand float64
-}
-
-// fillerRoom returns the room of a worker for fillers. It is computed again only
-// when something has changed on the worker.
-func (p *Planner) fillerRoom(h *hosts.Host) fillerRoom {
-	if v, known := p.fillerRooms[h.ID]; known && v.version == h.Version {
-		return v
-	}
-	v := fillerRoom{version: h.Version, room: p.interference.Room(h.Serving(), h.FillerMix()), idle: 1}
-	capacity := float64(max(1, h.Capacity.Processors))
-	for _, s := range h.Slots {
-		need := float64(s.Step.Needs.Processors) / capacity
-		switch {
-		case s.Serving != nil:
-			v.idle -= need * s.Serving.Expected()
-		case s.Step.Filler && s.Crowded:
-		case s.Step.Filler:
-			v.demand += need
-		default:
-			v.idle -= need
-		}
-	}
-	p.fillerRooms[h.ID] = v
-	return v
-}
-
 const (
 	// sameImageWeight is added to the score of a worker with serving tasks of the
 	// same image.
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -51,10 +51,13 @@
 			o.full++
 		case p.judge.Avoid(now, h.ID):
 			o.suspected++
-		case step.Filler && p.slackWith(h, step) < 0:
-			o.disturbed++
-		case step.Filler && p.fillerSpeed(h, step) < minFillerSpeed:
-			o.slow++
+		case step.Filler:
+			part, v := h.ProcessorShare(step.Needs.Processors), h.FillerRoom(p.interference)
+			if v.SlackWith(step.Image, part) < 0 {
+				o.disturbed++
+			} else if v.Speed(part) < minFillerSpeed {
+				o.slow++
+			}
 		}
 	}
 	return o
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -186,6 +186,10 @@
 	Used sched.Resources
 	// Version rises with every change of the slots, and with each call of Touch.
 	Version int
+	// Gains rises with every change that may give room to fillers, and is above 0.
+	Gains int
+	// Place is the worker's place in the list of its planner.
+	Place int
 
 	// suspects counts the slots of suspects.
 	suspects     int
@@ -194,12 +198,13 @@
 	leaseEnd     time.Time
 	life         int64
 	endedFillers []endedFiller
+	fillers      fillerMemory
 }
 
 // New returns a worker without runs. Leases that earlier planners granted to it
 // have ended at leaseEnd; bumps is the count that its token starts with.
 func New(w sched.Worker, leaseEnd time.Time, bumps int64) *Host {
-	return &Host{Worker: w, Slots: map[Key]*Slot{}, leaseEnd: leaseEnd, life: w.Incarnation, bumps: bumps}
+	return &Host{Worker: w, Slots: map[Key]*Slot{}, leaseEnd: leaseEnd, life: w.Incarnation, bumps: bumps, Gains: 1}
 }
 
 // Token returns the fencing token for the next order: the given term in the upper
@@ -303,7 +308,7 @@
 		h.suspects++
 	}
 	h.Used = h.Used.Plus(s.Step.Counted())
-	h.Touch()
+	h.Version++
 }
 
 // Remove takes a run off the worker and returns it, nil if it isn't there.
@@ -405,8 +410,11 @@
 	}
 }
 
-// Touch raises Version.
-func (h *Host) Touch() { h.Version++ }
+// Touch raises Version, for a change that may give room.
+func (h *Host) Touch() {
+	h.Version++
+	h.Gains++
+}
 
 // Serving returns the started tasks on the worker that serve users.
 func (h *Host) Serving() []*share.Serving {
