Drop submissions whose callers have gone before the planner reads them

A planner that is behind took on jobs, at the end of its queue, whose callers had been told 504 by then, and answered questions that nobody waited for: it fell further behind by work that no caller got. Change: a call whose context has ended isn't carried out, unless it cancels a job. The caller was told that the outcome is unknown, so nothing false is said. Test: TestCallsWhoseCallersHaveGoneAreNotServed, before: the job was accepted after its caller had gone.

--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -282,7 +282,13 @@
 		return ErrNotPlanner
 	}
 	done := make(chan struct{})
-	l.post(kind, func() { f(); close(done) })
+	l.post(kind, func() {
+		defer close(done)
+		if c.Err() != nil && kind != workCancel {
+			return // nobody waits for it any more
+		}
+		f()
+	})
 	select {
 	case <-done:
 		return nil
--- a/internal/process/lead/work_test.go
+++ b/internal/process/lead/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
 // Guards against a planner that falls behind without a trace in logs and metrics.
@@ -52,3 +54,34 @@
 		})
 	}
 }
+
+// Guards against a planner that falls further behind by work for callers that have given up,
+// and against a cancel that is lost with its caller.
+func TestCallsWhoseCallersHaveGoneAreNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		l := newLeader(newWorld(), "entry-0")
+		c, stop := context.WithCancel(t.Context())
+		ended := begin(c, l)
+		_, err := l.Submit(c, sched.Job{ID: "kept", Steps: []sched.Step{{Tasks: 1}}})
+		i.NoErr(err)
+		l.Post(func(*cell.Planner) { time.Sleep(500 * time.Millisecond) })
+		x, cancel := context.WithTimeout(c, 100*time.Millisecond)
+		defer cancel()
+		var calls sync.WaitGroup
+		calls.Go(func() { _, err = l.Submit(x, sched.Job{ID: "late", Steps: []sched.Step{{Tasks: 1}}}) })
+		calls.Go(func() { _, _ = l.Cancel(x, "kept") })
+		calls.Wait()
+		i.Equal(err, context.DeadlineExceeded) // it may have been accepted, as far as its caller knows
+		time.Sleep(time.Second)
+		late, _, err := l.State(c, "late")
+		i.NoErr(err)
+		i.Equal(late, sched.JobState(0))
+		kept, _, err := l.State(c, "kept")
+		i.NoErr(err)
+		i.Equal(kept, sched.JobCancelled)
+		stop()
+		<-ended
+		time.Sleep(time.Second)
+	})
+}
