Space out what can wait while a planner is behind

Quick jobs on the large site were still late where the planner has half the processor, or a burst is longer: the number of messages doesn't shrink while the thread is behind. Change: the planner is told how long the message that it handles has waited. By as much, up to 400 ms, it spaces out its passes over waiting fillers, the exchanges with workers that have runs, and the acknowledgements of ends, so that one exchange reports more. Steps that aren't fillers are placed as often as before.

--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -74,6 +74,9 @@
 	defer cancel()
 	sent := l.Clock.Now()
 	a, err := send(l, func() (sched.OrderAnswer, error) { return l.Runner.Pace(x, p.Worker, p.Order) })
+	if err == nil && a.Refusal == sched.NotRefused {
+		return // as the planner expects
+	}
 	r := cell.OrderResult{
 		Result: l.callResult(p.Worker, p.Order.Token, sent, err), Key: hosts.Key{Task: p.Order.Task, Run: p.Order.Run},
 		Answer: a,
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -251,7 +251,9 @@
 			l.fail(l.plannerFailed(r))
 		}
 	}()
-	l.work.Waited(l.Clock.Now().Sub(m.postedAt))
+	waited := l.Clock.Now().Sub(m.postedAt)
+	l.work.Waited(waited)
+	l.planner.SetDelay(waited)
 	before := l.planner.Stats()
 	l.measure(m.kind, m.run)
 	l.applyEffects()
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -74,7 +74,7 @@
 	if len(p.dirtyJobs) == 0 && len(p.expiredJobs) == 0 {
 		// Ends that changed no job need no record.
 		for _, n := range p.unacknowledgedEnds() {
-			n.apply(now)
+			n.apply(now, p.ackDelay())
 		}
 		return
 	}
@@ -171,15 +171,19 @@
 	return out
 }
 
-// apply sends the acknowledgement with the next exchange, which is due at once.
+// apply sends the acknowledgement with the next exchange, which is due after the delay.
 // It has no effect if the worker has begun another life meanwhile.
-func (n endAck) apply(now time.Time) {
+func (n endAck) apply(now time.Time, delay time.Duration) {
 	if n.worker.NewestIncarnation() == n.life && n.number > n.worker.DurableEnd {
 		n.worker.DurableEnd = n.number
-		n.worker.NextExchangeAt = now
+		n.worker.NextExchangeAt = now.Add(delay)
 	}
 }
 
+// ackDelay returns how long an acknowledgement may wait for other ends of its worker. The
+// limit of the platform is a multiple of it.
+func (p *Planner) ackDelay() time.Duration { return min(p.delay, maxExchangePause) }
+
 // recordsOf returns the records of a dirty job. One without a value deletes the key.
 func (p *Planner) recordsOf(j *job) []sched.KeyedRecord {
 	var out []sched.KeyedRecord
@@ -223,7 +227,7 @@
 	}
 	p.effects.Replies = append(p.effects.Replies, b.replies...)
 	for _, n := range b.acks {
-		n.apply(now)
+		n.apply(now, p.ackDelay())
 	}
 	for _, s := range b.starts {
 		p.sendStart(now, s)
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -16,6 +16,11 @@
 // Each report of a worker may free room, and there are hundreds a second.
 const placementInterval = 20 * time.Millisecond
 
+// maxFillerInterval bounds the time between two passes over the waiting fillers. While the
+// planner is behind, these passes are rarer: they take the most time, and fillers can wait
+// longest.
+const maxFillerInterval = 400 * time.Millisecond
+
 // placeWaiting places the waiting tasks for which there is room, step by step in
 // the order of their claims.
 func (p *Planner) placeWaiting(now time.Time) {
@@ -23,8 +28,12 @@
 		return
 	}
 	p.placedAt = now
-	p.misfits.BeginPass()
-	p.copyGains()
+	fillersDue := now.Sub(p.fillersPlacedAt) >= min(placementInterval+p.delay, maxFillerInterval)
+	if fillersDue {
+		p.fillersPlacedAt = now
+		p.misfits.BeginPass()
+		p.copyGains()
+	}
 	for _, w := range p.waitingSteps {
 		w.claim = p.claimOf(now, w.job, w.occurrence.Number, w.step)
 	}
@@ -38,6 +47,10 @@
 		if w.job.State.Final() || len(w.tasks) == 0 {
 			continue
 		}
+		if !fillersDue && comparesBeside(&w.job.Steps[w.step]) {
+			rest = append(rest, w)
+			continue
+		}
 		p.updateOverdue(now, w, use)
 		if n := roomNeedOf(w); (p.hasReservation(w) || !full.covers(n)) && !p.placeStep(now, w) {
 			full = append(full, n)
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -127,8 +127,11 @@
 	learnedRecordedAt time.Time
 	// silences holds when workers stopped answering, newest last.
 	silences []silence
-	// placedAt is when placeWaiting last passed over the waiting steps.
-	placedAt time.Time
+	// placedAt is when placeWaiting last passed over the waiting steps, and
+	// fillersPlacedAt when it last passed over those of fillers.
+	placedAt, fillersPlacedAt time.Time
+	// delay is how far the planner is behind, see SetDelay.
+	delay time.Duration
 }
 
 // Stats counts what a planner did in its term. Stops includes repeated orders, but
@@ -342,6 +345,10 @@
 	return e
 }
 
+// SetDelay tells the planner how long events wait before it is told of them. While it is
+// behind, it spaces out the work that can wait, so that it catches up.
+func (p *Planner) SetDelay(d time.Duration) { p.delay = d }
+
 // Stats returns the counts since the beginning of the term.
 func (p *Planner) Stats() Stats { return p.stats }
 
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// exchangePause is the time between two exchanges with a worker that has
-	// runs. It lets one exchange report several ends.
-	exchangePause = 60 * time.Millisecond
+	// minExchangePause is the time between two exchanges with a worker that has
+	// runs. It lets one exchange report several ends. While the planner is behind, the
+	// pause is longer by as much, up to maxExchangePause: the reports would wait as long.
+	minExchangePause = 60 * time.Millisecond
+	maxExchangePause = 400 * time.Millisecond
 	// exchangeWait is how long a worker may wait for an end before it answers,
 	// and so about the time between two renewals of its lease.
 	exchangeWait = time.Second
@@ -150,12 +152,17 @@
 		p.answered(r.Received, h, restarted)
 	}
 	p.updatePaces(now, h)
-	h.NextExchangeAt = now.Add(exchangePause)
+	h.NextExchangeAt = now.Add(p.exchangePause())
 	if len(h.Slots) == 0 && h.Strays == 0 && h.AppliedEnd == h.DurableEnd && h.AckedEnd == h.DurableEnd && h.RunsKnown {
 		h.NextExchangeAt = now.Add(idleExchangePause)
 	}
 }
 
+// exchangePause returns the time between two exchanges with a worker that has runs.
+func (p *Planner) exchangePause() time.Duration {
+	return min(minExchangePause+p.delay, maxExchangePause)
+}
+
 // exchangeFailed counts a call that the worker didn't answer, or refused as
 // unhealthy. The next exchange is due after retryPause. Exchanges grant no lease
 // until one succeeds.
@@ -294,7 +301,7 @@
 			}
 		}
 		if now.Before(h.NextExchangeAt) {
-			h.NextExchangeAt = minTime(h.NextExchangeAt, now.Add(exchangePause))
+			h.NextExchangeAt = minTime(h.NextExchangeAt, now.Add(p.exchangePause()))
 		}
 		return
 	}
