Call workers directly whose names no message can hold

A key of the list that isn't valid UTF-8 could not be encoded in an order for an agent. That ended the stream, so each exchange with that worker cost the planner one agent after the other, with the orders of all their workers. Change: such orders don't go through an agent. Test: TestAWorkerThatCannotBeNamedDoesNotEndTheStream, before: the order after it wasn't carried.

--- a/internal/emu/world/faults.go
+++ b/internal/emu/world/faults.go
@@ -116,3 +116,8 @@
 // StoreCounts returns the number of successful appends to the store and the bytes
 // that they added.
 func (w *World) StoreCounts() (appends, bytes int64) { return w.store.Counts() }
+
+// WriteWorkerRecord writes an entry to the list of workers as another writer would.
+func (w *World) WriteWorkerRecord(key string, value []byte) {
+	w.update(func(time.Time) { w.write(workerPartition, key, value) })
+}
--- a/internal/process/agent/pool.go
+++ b/internal/process/agent/pool.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -150,6 +151,9 @@
 
 // carry sends an order through the worker's agent.
 func (p *Pool) carry(c context.Context, w sched.Worker, m *pb.WorkerOrder, payload string) (sched.LeaseAnswer, error) {
+	if !utf8.ValidString(string(w.ID)) || !utf8.ValidString(w.Address) {
+		return sched.LeaseAnswer{}, errDirect // a message with it can't be encoded
+	}
 	l := p.agentOf(w)
 	if l == nil || !p.awaitReady(c, l) {
 		return sched.LeaseAnswer{}, errDirect
--- a/internal/process/agent/pool_test.go
+++ b/internal/process/agent/pool_test.go
@@ -244,3 +244,29 @@
 		})
 	}
 }
+
+// Guards against one worker whose name or address isn't text, and for which no message can be
+// encoded, that ends the streams to all agents again and again.
+func TestAWorkerThatCannotBeNamedDoesNotEndTheStream(t *testing.T) {
+	rows := []struct {
+		name string
+		odd  sched.Worker
+	}{
+		{"name", sched.Worker{ID: "w\xff", Address: "w:1", DataCentre: "dc"}},
+		{"address", sched.Worker{ID: "w2", Address: "\xff:1", DataCentre: "dc"}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			r := newRig(t)
+			for _, w := range []sched.Worker{one, row.odd, one} {
+				_, err := r.Lease(timeout(t, time.Minute), w, sched.LeaseOrder{})
+				i.NoErr(err)
+			}
+			_, carried := r.carried.counts()
+			_, direct := r.direct.counts()
+			i.Equal(carried, 2) // the orders to the other worker
+			i.Equal(direct, 1)
+		})
+	}
+}
