Count only entries of workers when cells are laid out

Any record among those of the workers counted for the number of cells, which is permanent, and the first one began the wait for the workers: one entry of another writer, written early, could lay a site out with one cell, or with a cell too many at the limit. Change: records that don't decode as workers are logged and not counted. Test: TestOnlyWorkersCountForTheNumberOfCells. The function is new; the code before took the number of records, 3 in that test instead of 1.

--- a/internal/process/entry/layout.go
+++ b/internal/process/entry/layout.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/parsleybarrow/parsleybarrow/internal/process/follow"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
 const (
@@ -39,12 +42,25 @@
 	if err != nil {
 		return fmt.Errorf("read list of workers: %w", err)
 	}
-	if err := l.checkSettled(e.Clock.Now(), len(records)); err != nil {
+	if err := l.checkSettled(e.Clock.Now(), l.countWorkers(records)); err != nil {
 		return err
 	}
 	return e.directory.WriteLayout(c, (l.maxWorkers+e.WorkersPerCell-1)/e.WorkersPerCell)
 }
 
+// countWorkers returns how many of the records are entries of workers.
+func (l *layout) countWorkers(records []sched.KeyedRecord) int {
+	n := 0
+	for _, r := range records {
+		if _, err := l.entry.Registry.DecodeWorker(r); err != nil {
+			l.entry.Log.Warn("badWorkerRecord", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
+			continue
+		}
+		n++
+	}
+	return n
+}
+
 // checkSettled takes the current number of listed workers. It returns an error
 // while there are none or more are joining.
 func (l *layout) checkSettled(now time.Time, workers int) error {
--- a/internal/process/entry/layout_test.go
+++ b/internal/process/entry/layout_test.go
@@ -5,6 +5,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/emu/world"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
 // Guards against a number of cells derived from the few workers that register
@@ -37,3 +41,14 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 }
+
+// Guards against entries of other writers that count as workers: the number of cells is
+// permanent, and the first such entry would begin the wait for the workers.
+func TestOnlyWorkersCountForTheNumberOfCells(t *testing.T) {
+	i := is.New(t)
+	l := &layout{entry: &Entry{Registry: &world.Client{}, Log: zap.NewNop()}}
+	records := []sched.KeyedRecord{
+		{Key: "a", Value: []byte(`{"ID":"a"}`)}, {Key: "b", Value: []byte(`[[[[`)}, {Key: "c", Value: []byte(`{"ID":7}`)},
+	}
+	i.Equal(l.countWorkers(records), 1)
+}
