Bound the memory of searches for room; read the processor time at the begin of a term

Cause: read-through of the change. The images of searches that found no room were kept for good, and their names come from callers. The first line of plannerLoad counted the processor time since the start of the process. Conclusion: no decision changes.

--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -137,7 +137,7 @@
 	}
 	l.tickets = map[cell.Ticket]chan sched.Verdict{}
 	l.begunAt = l.Clock.Now()
-	l.work = busy.New(l.begunAt)
+	l.work, l.processorTime = busy.New(l.begunAt), l.readProcessorTime()
 	l.appends, l.stopped = make(chan []sched.KeyedRecord, 1), make(chan struct{})
 	l.supersededBy, l.retryRequested = make(chan Term, 1), make(chan struct{}, 1)
 	l.failure = make(chan error, 1)
--- a/internal/process/lead/work.go
+++ b/internal/process/lead/work.go
@@ -59,14 +59,21 @@
 	loggedWorks = 4
 )
 
-// reportLoad logs what the planner's actor did since the last report if it was busy or
-// late, and calls OnLoad.
-func (l *Leader) reportLoad(now time.Time) {
-	r := l.work.Take(now)
+// readProcessorTime returns the processor time that this process has used, 0 with a line in
+// the log if it can't be read.
+func (l *Leader) readProcessorTime() time.Duration {
 	used, err := busy.ProcessorTime()
 	if err != nil {
 		l.Log.Warn("processorTimeUnknown", zap.Error(err))
 	}
+	return used
+}
+
+// reportLoad logs what the planner's actor did since the last report if it was busy or
+// late, and calls OnLoad.
+func (l *Leader) reportLoad(now time.Time) {
+	r := l.work.Take(now)
+	used := l.readProcessorTime()
 	if r.Share() >= busyShare || r.LongestWait >= longWait {
 		fields := []zap.Field{
 			zap.Duration("period", r.Period), zap.Duration("busy", r.Busy), zap.Duration("wait", r.LongestWait),
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// ackDelay returns how long an acknowledgement may wait for other ends of its worker. The
-// limit of the platform is a multiple of it.
+// ackDelay returns how long an acknowledgement waits for other ends of its worker, which keeps
+// listing them until then.
 func (p *Planner) ackDelay() time.Duration { return min(p.delay, maxExchangePause) }
 
 // recordsOf returns the records of a dirty job. One without a value deletes the key.
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -218,8 +218,7 @@
 		interference: share.NewModel(), runTimes: order.NewRunTimes(),
 		judge: suspct.NewWithTiming(suspicionPauses), countedGangRuns: map[sched.StepRef]int{},
 		advice: map[sched.StepRef]*stepAdvice{}, noRoomElsewhere: map[string]time.Time{}, service: map[string]sched.ServiceRules{},
-		provenAt:          now,
-		inheritedLeaseEnd: now.Add(o.LeaseLimit + leaseClockMargin),
+		provenAt: now, inheritedLeaseEnd: now.Add(o.LeaseLimit + leaseClockMargin),
 	}
 	if !o.PredecessorStopped {
 		p.inheritedLeaseEnd = p.inheritedLeaseEnd.Add(ProofValidity)
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -125,7 +126,7 @@
 }
 
 // fillerRoomElsewhere returns a worker whose serving tasks can bear the filler
-// with minMoveSlack to spare, nil if there is none.
+// with minMoveSlack to spare, nil if there is none or none was found a moment ago.
 func (p *Planner) fillerRoomElsewhere(now time.Time, s *hosts.Slot) *hosts.Host {
 	if now.Sub(p.noRoomElsewhere[s.Step.Image]) < roomSearchInterval {
 		return nil
@@ -141,6 +142,7 @@
 			return h
 		}
 	}
+	maps.DeleteFunc(p.noRoomElsewhere, func(_ string, at time.Time) bool { return now.Sub(at) >= roomSearchInterval })
 	p.noRoomElsewhere[s.Step.Image] = now
 	return nil
 }
