--- a/internal/emu/site/bench_test.go
+++ b/internal/emu/site/bench_test.go
@@ -57,6 +57,15 @@
 	}}}
 }
 
+// addUsual adds a job whose tasks take about as long as declared and seldom fail.
+func (t *trial) addUsual(r *rand.Rand, j sched.Job) {
+	truth := book.JobTruth{Job: j, RunTimeSpread: 0.3, FailureProbability: 0.03, LoadPhase: r.Float64()}
+	for _, s := range j.Steps {
+		truth.MeanRunTimes = append(truth.MeanRunTimes, s.Estimate)
+	}
+	t.world.Jobs.Add(truth)
+}
+
 // submitCell submits the load of one cell for loadTime, with random gaps between
 // the quick and sweep jobs.
 func (t *trial) submitCell(c context.Context, loops *sync.WaitGroup) {
@@ -65,11 +74,7 @@
 	submit := func(j sched.Job) {
 		made++
 		j.ID = sched.JobID(fmt.Sprintf("%016x", made))
-		truth := book.JobTruth{Job: j, RunTimeSpread: 0.3, FailureProbability: 0.03, LoadPhase: r.Float64()}
-		for _, s := range j.Steps {
-			truth.MeanRunTimes = append(truth.MeanRunTimes, s.Estimate)
-		}
-		t.world.Jobs.Add(truth)
+		t.addUsual(r, j)
 		loops.Go(func() { t.caller.Submit(c, j) })
 	}
 	for range lastingJobs {
--- a/internal/emu/site/overload_test.go
+++ b/internal/emu/site/overload_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/parsleybarrow/parsleybarrow/internal/emu/book"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -95,11 +94,7 @@
 	var out []arrival
 	submit := func(kind string, j sched.Job) {
 		j.ID = sched.JobID(fmt.Sprintf("%016x", len(out)+1))
-		truth := book.JobTruth{Job: j, RunTimeSpread: 0.3, FailureProbability: 0.03, LoadPhase: r.Float64()}
-		for _, s := range j.Steps {
-			truth.MeanRunTimes = append(truth.MeanRunTimes, s.Estimate)
-		}
-		t.world.Jobs.Add(truth)
+		t.addUsual(r, j)
 		out = append(out, arrival{j, time.Now(), kind})
 		loops.Go(func() { t.caller.Submit(c, j) })
 	}
