--- a/review/platform/settings.go
+++ b/review/platform/settings.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
 )
 
@@ -105,16 +107,27 @@
 	return data
 }
 
+// Ports from firstPort on and below endPort aren't given to outgoing connections, which could
+// take the port of a process while that starts again.
+const (
+	firstPort = 12000
+	endPort   = 32000
+	mostTries = 1000
+)
+
 // FreeAddresses returns loopback addresses whose ports are free.
 func FreeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for tries := 0; len(out) < n; tries++ {
+		a := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(endPort-firstPort)))
+		l, err := net.Listen("tcp", a)
+		switch {
+		case err == nil:
+			defer func() { _ = l.Close() }()
+			out = append(out, a)
+		case tries >= mostTries:
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
 	}
 	return out, nil
 }
--- a/review/platform/worker.go
+++ b/review/platform/worker.go
@@ -101,7 +101,11 @@
 	address := w.address
 	w.mu.Unlock()
 	if address == "" {
-		address = "127.0.0.1:0"
+		free, err := FreeAddresses(1)
+		if err != nil {
+			return err
+		}
+		address = free[0]
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
