--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] && [ -x target/parsleybarrow ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/rig flapping review/2
+exec target/review/rig stopping review/2
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -49,13 +49,21 @@
 // newID returns the id of a new submission.
 func newID() string { return fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+sequence.Add(1)) }
 
+// cpuPerTask is what each task needs, in thousandths of a core.
+const cpuPerTask = 1600
+
 // submission returns the body of a submission with one step. Without a label any worker may
 // run its tasks.
-func submission(tasks, cpu int, label string) string {
+func submission(tasks int, label string) string { return submissionWith(tasks, label, "") }
+
+// lasting returns the body of a submission with one task that lasts.
+func lasting(label string) string { return submissionWith(1, label, `,"long_running":true`) }
+
+func submissionWith(tasks int, label, more string) string {
 	if label != "" {
-		label = fmt.Sprintf(`,"requirements":%q`, label)
+		more += fmt.Sprintf(`,"requirements":%q`, label)
 	}
-	return fmt.Sprintf(`{"spec":"(text)","steps":[{"count":%d,"cpu":%d,"mem_mb":3200,"estimated_ms":1000%s}]}`, tasks, cpu, label)
+	return fmt.Sprintf(`{"spec":"(text)","steps":[{"count":%d,"cpu":%d,"mem_mb":3200,"estimated_ms":1000%s}]}`, tasks, cpuPerTask, more)
 }
 
 // send sends a request and waits for its answer.
