--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -51,6 +51,7 @@
 	"stopping": stoppingCase,
 	"reborn":   rebornCase,
 	"kinds":    kindsCase,
+	"paused":   pausedCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
