Review case 4: lasting tasks wait for one another after two crashes of their worker

Tried: the only worker with a label crashes twice, 6 s apart, under three lasting tasks, and is back after 0.7 s.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -51,6 +51,7 @@
 	"stopping": stoppingCase,
 	"reborn":   rebornCase,
 	"kinds":    kindsCase,
+	"isolated": isolatedCase,
 	"paused":   pausedCase,
 }
 
