--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -48,11 +48,12 @@
 }
 
 var cases = map[string]playbook{
-	"stopping": stoppingCase,
-	"reborn":   rebornCase,
-	"kinds":    kindsCase,
-	"isolated": isolatedCase,
-	"paused":   pausedCase,
+	"stopping":  stoppingCase,
+	"reborn":    rebornCase,
+	"kinds":     kindsCase,
+	"isolated":  isolatedCase,
+	"paused":    pausedCase,
+	"estimates": estimatesCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
