--- a/review/platform/settings.go
+++ b/review/platform/settings.go
@@ -76,6 +76,9 @@
 	return b.String()
 }
 
+// ReadyPath is the path of the platform's readiness checks.
+const ReadyPath = "/v1/ready"
+
 // Host and Prefix are where clients find the only queue, which leads to Service.
 const (
 	Host    = "nony24.example"
--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -120,7 +120,7 @@
 // ready makes a readiness check as the platform does.
 func (m *machine) ready() bool {
 	h := &http.Client{Timeout: readyTime, Transport: &http.Transport{DisableKeepAlives: true}}
-	r, err := h.Get("http://" + m.settings.Ready + "/v1/ready")
+	r, err := h.Get("http://" + m.settings.Ready + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
