Don't extend a drain by a grace period that is read during it

Cause: the drain compared its age with the grace period of the newest settings. The platform sends SIGKILL when the period of the time of SIGTERM is over, so that a longer one in the settings file would have let the drain run into it.

Change: a Reload during the drain shortens it, but doesn't extend it.

TestAReloadDuringTheDrainDoesNotExtendIt, on virtual time, row "longer" (6 s, then a minute): failed before, passes now. The rows with shorter periods passed before too.

--- a/internal/process/entry/drain_test.go
+++ b/internal/process/entry/drain_test.go
@@ -72,16 +72,46 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { stopDuringCall(t, row.sent) })
+			noReload := func(*entry.Entry) {}
+			synctest.Test(t, func(t *testing.T) { is.New(t).True(stopDuringCall(t, row.sent, noReload) < stopGrace) })
 		})
 	}
 }
 
+// Guards against a drain that goes on until SIGKILL, which the platform sends when the grace
+// period of the time of SIGTERM is over, because the settings name a longer one since.
+func TestAReloadDuringTheDrainDoesNotExtendIt(t *testing.T) {
+	rows := []struct {
+		name    string
+		grace   time.Duration // read a second after SIGTERM
+		longest time.Duration // from SIGTERM to the end
+	}{
+		{"longer", time.Minute, stopGrace},
+		{"shorter", 3 * time.Second, 3 * time.Second},
+		{"over already", 500 * time.Millisecond, 1500 * time.Millisecond},
+		{"none", 0, 1500 * time.Millisecond},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reload := func(e *entry.Entry) {
+					time.Sleep(time.Second)
+					e.Reload(cell.Options{}, row.grace)
+				}
+				is.New(t).True(stopDuringCall(t, -100*time.Millisecond, reload) < row.longest)
+			})
+		})
+	}
+}
+
+// stopGrace is the grace period of the instances that stopDuringCall stops.
+const stopGrace = 6 * time.Second
+
 // stopDuringCall stops an instance whose calls take until their contexts end, and
-// checks that one that is sent at the given time after SIGTERM is answered.
-func stopDuringCall(t *testing.T, sent time.Duration) {
+// checks that one that is sent at the given time after SIGTERM is answered. It calls
+// afterStop right after SIGTERM and returns the time from there to the end.
+func stopDuringCall(t *testing.T, sent time.Duration, afterStop func(*entry.Entry)) time.Duration {
 	i := is.New(t)
-	const grace = 6 * time.Second
 	w := &world.World{Clock: clock.System{}, Heartbeat: time.Second}
 	w.Begin()
 	side := w.NewClient("entry", world.Path{}, world.Path{})
@@ -98,7 +128,7 @@
 			})
 		},
 	}
-	e.Reload(cell.Options{}, grace)
+	e.Reload(cell.Options{}, stopGrace)
 	c, stop := context.WithCancel(t.Context())
 	ended := make(chan time.Time, 1)
 	go func() {
@@ -124,9 +154,10 @@
 	time.Sleep(200 * time.Millisecond)
 	stopped := time.Now()
 	stop()
+	afterStop(e)
 	i.NoErr(<-failed)
 	if sent > 0 {
 		i.NoErr(<-failed)
 	}
-	i.True((<-ended).Sub(stopped) < grace)
+	return (<-ended).Sub(stopped)
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -281,9 +281,10 @@
 
 // drain ends the terms of this instance, whose cells are handed over, removes it from
 // the directory and waits until no calls have been in progress for
-// drainQuietPeriod, at most until killMargin before the end of the grace period.
+// drainQuietPeriod, at most until killMargin before the end of the grace period. Since
+// that began with SIGTERM, a Reload may shorten it but not extend it.
 func (e *Entry) drain(stopPlanning context.CancelFunc) {
-	began := e.Clock.Now()
+	began, grace := e.Clock.Now(), e.settings.Load().grace
 	e.leaving.Store(true)
 	e.Log.Info("leaving", zap.Int64("calls", e.inFlight.Load()))
 	stopPlanning()
@@ -293,7 +294,8 @@
 		e.Log.Warn("leaveFailed", zap.Error(err))
 	}
 	quiet := e.Clock.Now()
-	for e.Clock.Now().Sub(began) < e.settings.Load().grace-killMargin {
+	for e.Clock.Now().Sub(began) < grace-killMargin {
+		grace = min(grace, e.settings.Load().grace)
 		if e.inFlight.Load() > 0 {
 			quiet = e.Clock.Now()
 		}
