Handle the signals of a process from its start to its end

Cause: the default action of SIGHUP, SIGTERM and SIGINT, which ends a process at once, applied in every part of its life but one. `reload` registered for SIGHUP only once the listeners were open, and its deferred signal.Stop ran at SIGTERM, whose context it waited for, while the drain went on for seconds. main gave SIGTERM back its default action on purpose after the first one. `serve`, `demo` and `standin` never registered for SIGHUP.

The log of such a process ends without `stopped`, which told nothing about why; the new line `signal` does.

Change: package sigs receives the three signals from the first initialisation of a package on, a C constructor bridges the time before, and nothing gives them back. SIGTERM begins the drain once and then does nothing, the second SIGINT ends a process, SIGHUP is a reload in service and drain alike. What is left is the time in which the kernel and the dynamic linker set up the process; no request has been taken by then.

Why it works: there is no moment between the constructor and the exit of the process in which a default action applies, so that no order of signals can cut a drain.

--- a/cmd/parsleybarrow/main.go
+++ b/cmd/parsleybarrow/main.go
@@ -5,19 +5,15 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/cli"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/sigs"
 )
 
 func main() {
-	c, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	// After the first signal the default handling applies again, so that a second
-	// signal ends a process whose drain takes too long.
-	context.AfterFunc(c, stop)
-	p := &cli.Program{Stdout: os.Stdout, Stderr: os.Stderr}
-	code := p.Run(c, os.Args[1:])
-	stop()
-	os.Exit(int(code))
+	p := &cli.Program{
+		Stdout: os.Stdout, Stderr: os.Stderr,
+		Stops: sigs.Stops(), Hangups: sigs.Hangups(), HangupIgnored: sigs.HangupIgnored(),
+	}
+	os.Exit(int(p.Run(context.Background(), os.Args[1:])))
 }
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -17,6 +18,11 @@
 type Program struct {
 	Stdout io.Writer
 	Stderr io.Writer
+	// Stops passes on the SIGTERMs and SIGINTs of the process, Hangups each SIGHUP. They may
+	// be nil.
+	Stops, Hangups <-chan os.Signal
+	// HangupIgnored is set if the process was started with SIGHUP ignored.
+	HangupIgnored bool
 }
 
 // commands is the root of the command line.
@@ -66,7 +72,6 @@
 		kong.Exit(func(status int) { panic(helpPrinted{status}) }),
 		kong.DefaultEnvars("PARSLEY"),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
-		kong.BindTo(c, (*context.Context)(nil)),
 		kong.Bind(p),
 	)
 	parser, err := kong.New(&commands{}, options...)
@@ -77,6 +82,12 @@
 	if err != nil {
 		return usageError(err)
 	}
+	if _, ok := k.Selected().Target.Addr().Interface().(service); !ok {
+		var stop context.CancelFunc
+		c, stop = p.untilSignal(c)
+		defer stop()
+	}
+	k.BindTo(c, (*context.Context)(nil))
 	return k.Run()
 }
 
--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -4,10 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,8 +41,18 @@
 		return err
 	}
 	e.LinesDropped = lines.Dropped
-	go x.reload(c, e, s)
-	return e.Run(c)
+	// One waiting hang-up is enough: the file is read after it.
+	hangups := make(chan struct{}, 1)
+	hangup := func() {
+		select {
+		case hangups <- struct{}{}:
+		default:
+		}
+	}
+	reloading, end := context.WithCancel(context.WithoutCancel(c))
+	defer end()
+	go x.reload(reloading, hangups, e, s)
+	return p.runService(c, e.Log, hangup, e.Run)
 }
 
 // reloadInterval is the time between two reads of the settings file, which may
@@ -53,18 +60,15 @@
 const reloadInterval = 2 * time.Second
 
 // reload applies changes of the settings file until the context ends: after a
-// SIGHUP, and when a periodic read finds the bounds changed. Addresses and the
-// identity keep their values until the process restarts.
-func (x *entryCmd) reload(c context.Context, e *entry.Entry, s users.Settings) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// SIGHUP, also during the drain, and when a periodic read finds the bounds changed.
+// Addresses and the identity keep their values until the process restarts.
+func (x *entryCmd) reload(c context.Context, hangups <-chan struct{}, e *entry.Entry, s users.Settings) {
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	for {
 		asked := false
 		select {
-		case <-hup:
+		case <-hangups:
 			asked = true
 		case <-t.C:
 		case <-c.Done():
--- a/internal/process/cli/serve.go
+++ b/internal/process/cli/serve.go
@@ -49,7 +49,8 @@
 	if err != nil {
 		return err
 	}
-	err = d.Run(c)
+	// There is no settings file that a hang-up could announce.
+	err = p.runService(c, d.Logger, func() {}, d.Run)
 	var drain *daemon.DrainError
 	if errors.As(err, &drain) {
 		return fail(sched.ExitDrain, err)
