Take changed limits of the store without SIGHUP, and no settings file that was cut short

Found on the paths around SIGHUP; no caller is known to have been hurt by it.

Cause: the periodic read compared the bounds and nothing else, so that another limit of the store was taken only after a SIGHUP. A file that was cut among these limits was valid, with no limit or with the first digits of one, and a SIGHUP put it in force; the whole file wasn't taken afterwards, since its bounds were the same. Terms that began meanwhile kept the wrong limits.

Change: bounds and limits are compared; a file in which the limits are missing or don't fit each other, though they did before, isn't taken (`reloadFailed`); after a failed read the next good file is taken in any case.

--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,7 +52,7 @@
 	}
 	reloading, end := context.WithCancel(context.WithoutCancel(c))
 	defer end()
-	go x.reload(reloading, hangups, e, s)
+	go x.reload(reloading, hangups, e.Log, s, func(n users.Settings) { e.Reload(plannerOptions(n), n.Bounds.Grace) })
 	return p.runService(c, e.Log, hangup, e.Run)
 }
 
@@ -59,12 +60,24 @@
 // change without a SIGHUP.
 const reloadInterval = 2 * time.Second
 
-// reload applies changes of the settings file until the context ends: after a
-// SIGHUP, also during the drain, and when a periodic read finds the bounds changed.
-// Addresses and the identity keep their values until the process restarts.
-func (x *entryCmd) reload(c context.Context, hangups <-chan struct{}, e *entry.Entry, s users.Settings) {
+// errCutShort reports a settings file that ends before, within or between the limits of
+// the store, though it had them before.
+var errCutShort = errors.New("the settings file is cut short: the limits of the store are missing or don't fit each other")
+
+// limitsFit reports whether a file contains limits of the store of which that for a call,
+// the last one, is whole: a call takes at least one record.
+func limitsFit(q users.QuotaSettings) bool { return q.RecordBytes > 0 && q.CallBytes >= q.RecordBytes }
+
+// reload applies changes of the settings file until the context ends: after a SIGHUP,
+// also during the drain, and when a periodic read finds values changed. A file that can't
+// be used changes nothing. Addresses and the identity keep their values until the process
+// restarts.
+func (x *entryCmd) reload(
+	c context.Context, hangups <-chan struct{}, l *zap.Logger, s users.Settings, apply func(users.Settings),
+) {
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
+	failed := false
 	for {
 		asked := false
 		select {
@@ -75,13 +88,17 @@
 			return
 		}
 		n, err := users.ReadSettings()
+		if err == nil && limitsFit(s.Quota) && !limitsFit(n.Quota) {
+			err = errCutShort
+		}
 		switch {
 		case err != nil:
-			e.Log.Error("reloadFailed", zap.Error(err))
-		case asked || n.Bounds != s.Bounds:
-			e.Reload(plannerOptions(n), n.Bounds.Grace)
-			e.Log.Info("reloaded", zap.Bool("asked", asked))
-			s = n
+			l.Error("reloadFailed", zap.Error(err))
+			failed = true
+		case asked || failed || n.Bounds != s.Bounds || n.Quota != s.Quota:
+			apply(n)
+			l.Info("reloaded", zap.Bool("asked", asked))
+			s, failed = n, false
 		}
 	}
 }
