Keep an instance running when the reader of its log has gone

What callers see: the requests in an instance are cut when the process that reads its standard output ends, such as a log collector that restarts.

Cause: a write to a pipe without reader on standard output or standard error makes the Go runtime end the process by SIGPIPE.

Change: instances ignore SIGPIPE, so that the write fails and its lines are dropped and counted. Other commands keep the default action, as programs in a pipeline should.

TestAnInstanceOutlivesTheReaderOfItsLog failed before (signal: broken pipe), passes now.

--- a/cmd/parsleybarrow/process_test.go
+++ b/cmd/parsleybarrow/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -75,11 +76,15 @@
 	ended chan struct{}
 }
 
-// start starts a process, which is killed at the end of the test if it still runs.
+// start starts a process, which is killed at the end of the test if it still runs. Its
+// output is collected unless it has another one.
 func start(t *testing.T, x *exec.Cmd) *process {
 	t.Helper()
 	p := &process{Cmd: x, out: &output{}, ended: make(chan struct{})}
-	x.Stdout, x.Stderr = p.out, p.out
+	if x.Stdout == nil {
+		x.Stdout = p.out
+	}
+	x.Stderr = p.out
 	x.WaitDelay = time.Second
 	if err := x.Start(); err != nil {
 		t.Fatal(err)
@@ -138,7 +143,8 @@
 // instance is an entry instance on a stand-in of the platform, the only one there.
 type instance struct {
 	*process
-	front, settings string
+	address, settings string
+	output            *os.File // nil if the output is collected
 }
 
 const settingsText = `node_name = "edge-a-1"
@@ -204,7 +210,7 @@
 	go func() { _ = web.Serve(l) }()
 	t.Cleanup(func() { _ = web.Close() })
 	address := newAddress()
-	i := &instance{front: address + ":8161", settings: filepath.Join(t.TempDir(), "settings.toml")}
+	i := &instance{address: address, settings: filepath.Join(t.TempDir(), "settings.toml")}
 	i.writeSettings(t, fmt.Sprintf(settingsText, address, l.Addr(), graceSeconds))
 	return i
 }
@@ -224,9 +230,32 @@
 	t.Helper()
 	x := exec.Command(program, "entry")
 	x.Env = append(os.Environ(), "PARSLEYBARROW_BOOT="+i.settings)
+	if i.output != nil {
+		x.Stdout = i.output
+	}
 	i.process = start(t, x)
 }
 
+// metric returns the value of a metric without labels, 0 if it can't be read.
+func (i *instance) metric(name string) float64 {
+	a, err := http.Get("http://" + i.address + ":7720/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = a.Body.Close() }()
+	var text bytes.Buffer
+	if _, err := text.ReadFrom(a.Body); err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(text.String(), "\n") {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			v, _ := strconv.ParseFloat(value, 64)
+			return v
+		}
+	}
+	return 0
+}
+
 // client sends requests for the state of a job, one after the other, until it is told
 // to stop.
 type client struct {
@@ -244,7 +273,7 @@
 	for k := range n {
 		x := &client{
 			web: &http.Client{Transport: &http.Transport{}}, ended: make(chan error, 1),
-			url: fmt.Sprintf("http://%s/q/%016x", i.front, k+1),
+			url: fmt.Sprintf("http://%s:8161/q/%016x", i.address, k+1),
 		}
 		out = append(out, x)
 		go func() { x.ended <- x.run(c) }()
--- a/cmd/parsleybarrow/signal_test.go
+++ b/cmd/parsleybarrow/signal_test.go
@@ -200,3 +200,27 @@
 	x.awaitEnd(t)
 	i.Equal(x.ProcessState.String(), "exit status 0")
 }
+
+// Guards against an instance that SIGPIPE ends, with the requests in it, because the
+// reader of its log has gone.
+func TestAnInstanceOutlivesTheReaderOfItsLog(t *testing.T) {
+	i := is.New(t)
+	x := newInstance(t, graceTime)
+	c, stop := context.WithCancel(t.Context())
+	defer stop()
+	reader, writer, err := os.Pipe()
+	i.NoErr(err)
+	i.NoErr(reader.Close())
+	x.output = writer
+	x.start(t)
+	i.NoErr(writer.Close())
+	dropped := func() bool { return x.metric("parsleybarrow_log_lines_dropped_total") > 0 }
+	x.await(t, "log lines that can't be written", dropped)
+	clients := x.newClients(c, 1)
+	x.await(t, "answers", func() bool { return clients[0].answered.Load() > 0 })
+	stop()
+	i.NoErr(<-clients[0].ended)
+	i.NoErr(x.Process.Signal(syscall.SIGTERM))
+	x.awaitEnd(t)
+	i.Equal(x.ProcessState.String(), "exit status 0")
+}
--- a/internal/process/cli/signals.go
+++ b/internal/process/cli/signals.go
@@ -57,8 +57,10 @@
 
 // runService calls run with a context that ends at the first SIGTERM or SIGINT. Signals
 // are handled, and logged, until run returns: those that come while it drains must not
-// end the process. The function hangup is called at each SIGHUP.
+// end the process. The function hangup is called at each SIGHUP. SIGPIPE is ignored for
+// good: a log whose reader has gone must not end an instance.
 func (p *Program) runService(c context.Context, l *zap.Logger, hangup func(), run func(context.Context) error) error {
+	signal.Ignore(syscall.SIGPIPE)
 	handling, end := context.WithCancel(context.WithoutCancel(c))
 	defer end()
 	c, stop := context.WithCancel(c)
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -22,7 +22,7 @@
 		{cellsPlanned, "gauge", "Cells that are planned here."},
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
 		{readyNow, "gauge", "1 while the instance is ready, else 0."},
-		{linesDropped, "counter", "Log lines for which there was no space."},
+		{linesDropped, "counter", "Log lines for which there was no space, or that couldn't be written."},
 	}
 }
 
--- a/internal/process/sink/sink.go
+++ b/internal/process/sink/sink.go
@@ -18,7 +18,7 @@
 )
 
 // Sink buffers whole lines and writes them in pieces of at most 4,096 bytes. Lines
-// that don't fit into the buffer are dropped and counted. Exported fields are set
+// that don't fit into the buffer, or can't be written, are dropped and counted. Exported fields are set
 // before the first call. It is safe for concurrent use.
 type Sink struct {
 	Out io.Writer
@@ -44,13 +44,14 @@
 func (s *Sink) Write(data []byte) (int, error) {
 	s.ensureStarted()
 	s.mu.Lock()
-	if len(s.pending)+len(data) > s.Limit {
-		s.dropped++
-		s.unreported++
-	} else {
+	fits := len(s.pending)+len(data) <= s.Limit
+	if fits {
 		s.pending = append(s.pending, data...)
 	}
 	s.mu.Unlock()
+	if !fits {
+		s.drop(1)
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -85,6 +86,14 @@
 	return err
 }
 
+// drop counts dropped lines.
+func (s *Sink) drop(lines int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped += lines
+	s.unreported += lines
+}
+
 // Dropped returns the number of dropped lines so far.
 func (s *Sink) Dropped() int64 {
 	s.mu.Lock()
@@ -138,8 +147,8 @@
 }
 
 // writeLines writes lines in pieces that end with the end of a line, unless a line is
-// longer than maxWriteBytes. If the output fails, the remaining lines are
-// discarded: the failure can't be logged, since this is the output of the log.
+// longer than maxWriteBytes. If the output fails, the remaining lines are dropped and
+// counted: the failure can't be logged, since this is the output of the log.
 func (s *Sink) writeLines(lines []byte) {
 	for len(lines) > 0 {
 		n := len(lines)
@@ -150,6 +159,7 @@
 			}
 		}
 		if _, err := s.Out.Write(lines[:n]); err != nil {
+			s.drop(int64(bytes.Count(lines, []byte{'\n'})))
 			return
 		}
 		lines = lines[n:]
