Check that signals are handled before other packages start

TestSignalsAreHandledBeforeOtherPackagesStart passes; it guards the order in which packages are initialized, on which the handling of the first milliseconds rests. A comment of the log's sink is wrapped.

--- a/cmd/parsleybarrow/signal_test.go
+++ b/cmd/parsleybarrow/signal_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// Guards against an import that delays the handling of signals: until package sigs is
+// initialized, SIGTERM ends the process, and without cgo SIGHUP too. It can't come before
+// os/signal.
+func TestSignalsAreHandledBeforeOtherPackagesStart(t *testing.T) {
+	i := is.New(t)
+	x := exec.Command(program, "--help")
+	x.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+	out, err := x.CombinedOutput()
+	i.NoErr(err)
+	_, after, found := strings.Cut(string(out), "\ninit os/signal ")
+	i.True(found)
+	_, next, _ := strings.Cut(after, "\ninit ")
+	i.True(strings.HasPrefix(next, "github.com/parsleybarrow/parsleybarrow/internal/process/sigs "))
+}
+
 // Guards against a signal between the start and the first request that ends the process
 // (SIGHUP), or that is forgotten (SIGTERM). The settings are read from a pipe, which
 // holds the process up before it has begun to serve.
--- a/internal/process/sink/sink.go
+++ b/internal/process/sink/sink.go
@@ -18,8 +18,8 @@
 )
 
 // Sink buffers whole lines and writes them in pieces of at most 4,096 bytes. Lines
-// that don't fit into the buffer, or can't be written, are dropped and counted. Exported fields are set
-// before the first call. It is safe for concurrent use.
+// that don't fit into the buffer, or can't be written, are dropped and counted.
+// Exported fields are set before the first call. It is safe for concurrent use.
 type Sink struct {
 	Out io.Writer
 	// Limit is the size of the buffer in bytes.
