--- a/review/rig-2/platform/caller.go
+++ b/review/rig-2/platform/caller.go
@@ -19,21 +19,35 @@
 	retryDelay = 500 * time.Millisecond
 	host       = "desk.example"
 	prefix     = "/sweeps/"
+	// advised is the prefix of the queue whose steps need advice.
+	advised = "/checks/"
 )
 
 // configuration returns the operator's first configuration.
 func configuration() map[string]any {
 	return map[string]any{
 		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "sweeps", "host": host, "path_prefix": prefix, "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0,
-			"service": service, "max_attempts": maxAttempts, "stretch": 2.0,
-		}},
+		"routes": []any{route("sweeps", prefix, nil), route("checks", advised, map[string]any{
+			"decision_ms": adviceDecision.Milliseconds(), "period_ms": advicePeriod.Milliseconds(),
+			"validity_ms": adviceValidity.Milliseconds(),
+		})},
 		"services": []any{map[string]any{"name": service, "max_connections": 64, "rejects_overload": true}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
 	}
 }
 
+// route returns a route of the configuration. The advice may be nil.
+func route(name, path string, advice map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": host, "path_prefix": path, "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0,
+		"service": service, "max_attempts": maxAttempts, "stretch": 2.0,
+	}
+	if advice != nil {
+		r["advice"] = advice
+	}
+	return r
+}
+
 // maxAttempts is how often a task may fail.
 const maxAttempts = 3
 
@@ -42,12 +56,16 @@
 func (d *deployment) call(method, path string, body []byte) (int, []byte, http.Header) {
 	var i *instance
 	for range d.instances {
-		i = d.instances[d.next%len(d.instances)]
-		d.next++
+		i = d.instances[int(d.next.Add(1))%len(d.instances)]
 		if i.cmd != nil && i.running() {
 			break
 		}
 	}
+	return d.callAt(i, method, path, body)
+}
+
+// callAt sends a request of a caller to an instance.
+func (d *deployment) callAt(i *instance, method, path string, body []byte) (int, []byte, http.Header) {
 	r, err := http.NewRequest(method, "http://"+i.front+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil
@@ -81,7 +99,10 @@
 
 // submit hands a submission in, with further tries under the same id where the protocol
 // says so. It returns an error if it wasn't accepted.
-func (d *deployment) submit(id string, body any) error {
+func (d *deployment) submit(id string, body any) error { return d.submitTo(prefix, id, body) }
+
+// submitTo hands a submission in to the queue with the prefix.
+func (d *deployment) submitTo(queue, id string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
@@ -89,7 +110,7 @@
 	status := 0
 	for began := time.Now(); time.Since(began) < submitTimeout; {
 		var h http.Header
-		if status, _, h = d.call(http.MethodPost, prefix+id, data); status/100 == 2 {
+		if status, _, h = d.call(http.MethodPost, queue+id, data); status/100 == 2 {
 			return nil
 		}
 		delay := retryDelay
@@ -102,8 +123,22 @@
 }
 
 // state asks for the state of a submission. It is empty if there was no answer with one.
-func (d *deployment) state(id string) string {
-	status, b, _ := d.call(http.MethodGet, prefix+id, nil)
+func (d *deployment) state(id string) string { return d.stateOf(prefix, id) }
+
+// stateOf asks for the state of a submission in the queue with the prefix.
+func (d *deployment) stateOf(queue, id string) string {
+	status, b, _ := d.call(http.MethodGet, queue+id, nil)
+	return stateIn(status, b)
+}
+
+// stateAt asks an instance for the state of a submission.
+func (d *deployment) stateAt(i *instance, id string) string {
+	status, b, _ := d.callAt(i, http.MethodGet, prefix+id, nil)
+	return stateIn(status, b)
+}
+
+// stateIn returns the state in an answer, empty if there is none.
+func stateIn(status int, b []byte) string {
 	var a struct {
 		State string `json:"state"`
 	}
--- a/review/rig-2/platform/case_crashes.go
+++ b/review/rig-2/platform/case_crashes.go
@@ -26,7 +26,7 @@
 	if err := d.addWorkers(crashWorkers); err != nil {
 		return verdict{}, err
 	}
-	if err := d.addInstances(c, 3); err != nil {
+	if err := d.addInstances(c); err != nil {
 		return verdict{}, err
 	}
 	room := map[string]any{"spec": spec(taskSpec{CPU: 3200, MemMB: 6400, Lasts: true}), "steps": []any{map[string]any{
--- a/review/rig-2/platform/case_occurrences.go
+++ b/review/rig-2/platform/case_occurrences.go
@@ -26,7 +26,7 @@
 	if err := d.addWorkers(sweepWorkers); err != nil {
 		return verdict{}, err
 	}
-	if err := d.addInstances(c, 3); err != nil {
+	if err := d.addInstances(c); err != nil {
 		return verdict{}, err
 	}
 	const id = "00000000000000c3"
--- a/review/rig-2/platform/deployment.go
+++ b/review/rig-2/platform/deployment.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,7 +29,9 @@
 	contact      = 4 * time.Second
 	// rackSize is the number of workers in a rack.
 	rackSize = 4
-	service  = "simdesk"
+	// instances is the number of entry instances, one in each zone.
+	instances = 3
+	service   = "simdesk"
 )
 
 // observed is an event that a worker has printed, or that the driver has noted.
@@ -105,10 +108,11 @@
 	program   string // the project's daemon
 	store     *store
 	address   string // of the store
+	advice    string // address of the advice service
 	instances []*instance
 	workers   []*process
 	calls     http.Client
-	next      int // instance that takes the next call
+	next      atomic.Int64 // instance that takes the next call
 }
 
 // freePort returns a port of the loopback address that nobody uses.
@@ -148,6 +152,9 @@
 			d.store.expire()
 		}
 	}()
+	if d.advice, err = startAdvisor(j); err != nil {
+		return nil, err
+	}
 	c, err := json.Marshal(configuration())
 	if err != nil {
 		return nil, err
@@ -279,10 +286,10 @@
 	return 0
 }
 
-// addInstances starts entry instances and waits until all are ready.
-func (d *deployment) addInstances(c context.Context, n int) error {
+// addInstances starts the entry instances and waits until all are ready.
+func (d *deployment) addInstances(c context.Context) error {
 	var controls []string
-	for k := range n {
+	for k := range instances {
 		var a [4]string
 		for x := range a {
 			var err error
@@ -353,7 +360,7 @@
 heartbeat_ms = %d
 contracts = ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"]
 control_mode = "call"
-advice = ""
+advice = %q
 [zones]
 quezon-a = "luzon"
 pasig-b = "luzon"
@@ -398,5 +405,5 @@
 max_record_bytes = 262144
 max_request_bytes = 2097152
 keep_s = 20
-`, name, in, port, port, strings.Join(seeds, `", "`), heartbeat.Milliseconds(), a[0], a[1], a[2], d.address)
+`, name, in, port, port, strings.Join(seeds, `", "`), heartbeat.Milliseconds(), d.advice, a[0], a[1], a[2], d.address)
 }
--- a/review/rig-2/platform/main.go
+++ b/review/rig-2/platform/main.go
@@ -28,9 +28,11 @@
 // cases are the scripts, by the number of their folder. trouble tells whether the
 // disruption is to happen.
 var cases = map[string]func(c context.Context, d *deployment, trouble bool) (verdict, error){
+	"advice":      advice,
 	"crashes":     crashes,
 	"occurrences": occurrences,
 	"restarts":    restarts,
+	"outage":      outage,
 }
 
 // Main runs a worker, or a case: its name, the path of the daemon and that of the record.
--- a/review/rig-2/platform/worker.go
+++ b/review/rig-2/platform/worker.go
@@ -35,6 +35,8 @@
 	CPU   int64 `json:"cpu"`
 	MemMB int64 `json:"mem"`
 	Lasts bool  `json:"lasts"`
+	// Advised tasks need a ticket.
+	Advised bool `json:"advised"`
 }
 
 // workerRun is a run on a worker.
@@ -96,6 +98,7 @@
 	LastSeen   int64  `json:"last_seen"`
 	WaitMs     int64  `json:"wait_ms"`
 	Percent    int64  `json:"percent"`
+	Ticket     string `json:"ticket"`
 }
 
 func (w *worker) clock() time.Duration { return time.Since(w.began) }
@@ -186,6 +189,10 @@
 		w.extend(o.DeadlineMs)
 		refuse("old")
 		return
+	case s.Advised && !validTicket(o.Ticket, o.Task, w.id):
+		w.extend(o.DeadlineMs)
+		refuse("ticket")
+		return
 	case !w.hasRoom(s):
 		w.extend(o.DeadlineMs)
 		refuse("room")
