--- a/review/rig-2/platform/caller.go
+++ b/review/rig-2/platform/caller.go
@@ -131,12 +131,6 @@
 	return stateIn(status, b)
 }
 
-// stateAt asks an instance for the state of a submission.
-func (d *deployment) stateAt(i *instance, id string) string {
-	status, b, _ := d.callAt(i, http.MethodGet, prefix+id, nil)
-	return stateIn(status, b)
-}
-
 // stateIn returns the state in an answer, empty if there is none.
 func stateIn(status int, b []byte) string {
 	var a struct {
--- a/review/rig-2/platform/main.go
+++ b/review/rig-2/platform/main.go
@@ -31,8 +31,7 @@
 	"advice":      advice,
 	"crashes":     crashes,
 	"occurrences": occurrences,
-	"restarts":    restarts,
-	"outage":      outage,
+	"standstill":  standstill,
 }
 
 // Main runs a worker, or a case: its name, the path of the daemon and that of the record.
--- a/review/rig-2/platform/store.go
+++ b/review/rig-2/platform/store.go
@@ -7,11 +7,9 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -51,23 +49,11 @@
 	// heartbeat is the interval at which workers report.
 	heartbeat time.Duration
 
-	// mode is what the store does with the calls of the instances.
-	mode atomic.Int32
-
 	mu    sync.Mutex
 	parts map[string]*partition
 	seen  map[string]time.Time // of each listed worker
 }
 
-// Modes of the store.
-const (
-	answering = iota
-	// losing carries calls out and answers none.
-	losing
-	// silent neither carries calls out nor answers them.
-	silent
-)
-
 func newStore(keep, heartbeat time.Duration) *store {
 	return &store{keep: keep, heartbeat: heartbeat, parts: map[string]*partition{}, seen: map[string]time.Time{}}
 }
@@ -130,9 +116,9 @@
 // handler returns the store's interface.
 func (s *store) handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("POST /v1/log-append", s.call(s.serveAppend))
-	m.HandleFunc("GET /v1/log-read", s.call(s.serveRead))
-	m.HandleFunc("GET /v1/log-newest", s.call(s.serveNewest))
+	m.HandleFunc("POST /v1/log-append", s.serveAppend)
+	m.HandleFunc("GET /v1/log-read", s.serveRead)
+	m.HandleFunc("GET /v1/log-newest", s.serveNewest)
 	m.HandleFunc("POST /rig/register", func(_ http.ResponseWriter, r *http.Request) {
 		if b, err := io.ReadAll(r.Body); err == nil {
 			s.register(r.URL.Query().Get("id"), b)
@@ -141,22 +127,6 @@
 	return m
 }
 
-// call makes a call in the present mode. One without an answer hangs until its caller gives
-// up.
-func (s *store) call(f http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		switch s.mode.Load() {
-		case answering:
-			f(w, r)
-			return
-		case losing:
-			f(httptest.NewRecorder(), r)
-		}
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-}
-
 // splitRecords returns the records of an append, false if they are malformed.
 func splitRecords(b []byte) ([]record, bool) {
 	const lengthBytes = 4
