--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Workers crash one at a time; an accepted submission is shown as failed.
+# A burst of submissions whose steps need advice; a queue stops for good.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With
 # TROUBLE=0 there is no disruption.
 set -u
@@ -8,4 +8,4 @@
 for program in target/parsleybarrow target/review/rig-2; do
   [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build-2.sh"; exit 2; }
 done
-exec target/review/rig-2 crashes target/parsleybarrow "review/6/record.txt"
+exec target/review/rig-2 advice target/parsleybarrow "review/6/record.txt"
--- a/review/rig-2/platform/caller.go
+++ b/review/rig-2/platform/caller.go
@@ -27,10 +27,13 @@
 func configuration() map[string]any {
 	return map[string]any{
 		"version": 3,
-		"routes": []any{route("sweeps", prefix, nil), route("checks", advised, map[string]any{
-			"decision_ms": adviceDecision.Milliseconds(), "period_ms": advicePeriod.Milliseconds(),
-			"validity_ms": adviceValidity.Milliseconds(),
-		})},
+		"routes": []any{
+			route("sweeps", prefix, nil),
+			route("checks", advised, map[string]any{
+				"decision_ms": adviceDecision.Milliseconds(), "period_ms": advicePeriod.Milliseconds(),
+				"validity_ms": adviceValidity.Milliseconds(),
+			}),
+		},
 		"services": []any{map[string]any{"name": service, "max_connections": 64, "rejects_overload": true}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
 	}
--- a/review/rig-2/platform/case_advice.go
+++ b/review/rig-2/platform/case_advice.go
@@ -9,6 +9,10 @@
 
 const (
 	adviceWorkers = 8
+	// A submission must not wait for heldLimit while there is capacity for it, if these and
+	// the calmPart before them are calm.
+	heldLimit = 3 * time.Second
+	calmPart  = 4 * time.Second
 	// Checks are handed in at checkRate a second for checkPeriod, at burstFactor times that
 	// from burstStart on for burstPeriod.
 	checkRate   = 2.0
--- a/review/rig-2/platform/case_occurrences.go
+++ b/review/rig-2/platform/case_occurrences.go
@@ -18,6 +18,7 @@
 	sweepInterval    = 3 * time.Second
 	// finishPeriod is the time after the last occurrence is due in which all must be done.
 	finishPeriod = 14 * time.Second
+	pollInterval = time.Second
 )
 
 // occurrences hands in a submission that runs several times, with tasks that may be
--- a/review/rig-2/platform/deployment.go
+++ b/review/rig-2/platform/deployment.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -98,7 +100,7 @@
 // instance is an entry instance.
 type instance struct {
 	process
-	front, ready string
+	front, ready, control string
 }
 
 // deployment is a small deployment: a store, entry instances and workers.
@@ -115,16 +117,36 @@
 	next      atomic.Int64 // instance that takes the next call
 }
 
-// freePort returns a port of the loopback address that nobody uses.
+// Ports are taken from below those that the kernel gives to outgoing connections.
+const firstPort, lastPort = 10000, 30000
+
+// freePort returns a port of the loopback address that nobody uses, a different one each
+// time.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			continue
+		}
+		if takenPorts[port] {
+			_ = l.Close()
+			continue
+		}
+		takenPorts[port] = true
+		return port, l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("no port is free")
 }
 
+// takenPorts are the ports that freePort has returned.
+var (
+	portMu     sync.Mutex
+	takenPorts = map[int]bool{}
+)
+
 // freeAddress returns a loopback address that nobody uses.
 func freeAddress() (string, error) {
 	p, err := freePort()
@@ -252,15 +274,6 @@
 	return nil
 }
 
-// crash kills a worker and starts it again under its id after a while.
-func (d *deployment) crash(k int, down time.Duration) error {
-	w := d.workers[k]
-	w.kill()
-	d.journal.observe(fmt.Sprintf("%d %s crash - 0 %v", time.Now().UnixMilli(), w.name, down))
-	time.Sleep(down)
-	return w.start(d.folder, d.journal.observe)
-}
-
 // still has the tasks on a worker stand still, or go on.
 func (d *deployment) still(k int, on bool) error {
 	v := "0"
@@ -286,33 +299,39 @@
 	return 0
 }
 
+// startInstance starts the n-th entry instance.
+func (d *deployment) startInstance(n int, seeds []string) (*instance, error) {
+	var a [4]string
+	for x := range a {
+		var err error
+		if a[x], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	i := &instance{front: a[0], ready: a[1], control: a[2]}
+	i.name = fmt.Sprintf("edge-%s-%d", zone(n), n+1)
+	path := filepath.Join(d.folder, i.name+".toml")
+	if err := os.WriteFile(path, []byte(d.settings(i.name, zone(n), a, append(seeds, a[2]))), 0o600); err != nil {
+		return nil, err
+	}
+	i.args, i.env = []string{d.program, "entry"}, []string{"PARSLEYBARROW_BOOT=" + path}
+	log, err := os.Create(filepath.Join(d.folder, i.name+".out"))
+	if err != nil {
+		return nil, err
+	}
+	return i, i.start(d.folder, func(s string) { _, _ = fmt.Fprintln(log, s) })
+}
+
 // addInstances starts the entry instances and waits until all are ready.
 func (d *deployment) addInstances(c context.Context) error {
 	var controls []string
 	for k := range instances {
-		var a [4]string
-		for x := range a {
-			var err error
-			if a[x], err = freeAddress(); err != nil {
-				return err
-			}
-		}
-		controls = append(controls, a[2])
-		i := &instance{front: a[0], ready: a[1]}
-		i.name = fmt.Sprintf("edge-%s-%d", zone(k), k+1)
-		path := filepath.Join(d.folder, i.name+".toml")
-		if err := os.WriteFile(path, []byte(d.settings(i.name, zone(k), a, controls)), 0o600); err != nil {
-			return err
-		}
-		i.args, i.env = []string{d.program, "entry"}, []string{"PARSLEYBARROW_BOOT=" + path}
-		d.instances = append(d.instances, i)
-		log, err := os.Create(filepath.Join(d.folder, i.name+".out"))
+		i, err := d.startInstance(k, controls)
 		if err != nil {
 			return err
 		}
-		if err := i.start(d.folder, func(s string) { _, _ = fmt.Fprintln(log, s) }); err != nil {
-			return err
-		}
+		controls = append(controls, i.control)
+		d.instances = append(d.instances, i)
 	}
 	x, cancel := context.WithTimeout(c, readyTimeout)
 	defer cancel()
--- a/review/rig-2/platform/main.go
+++ b/review/rig-2/platform/main.go
@@ -29,9 +29,8 @@
 // disruption is to happen.
 var cases = map[string]func(c context.Context, d *deployment, trouble bool) (verdict, error){
 	"advice":      advice,
-	"crashes":     crashes,
 	"occurrences": occurrences,
-	"standstill":  standstill,
+	"replaced":    replaced,
 }
 
 // Main runs a worker, or a case: its name, the path of the daemon and that of the record.
--- a/review/rig-2/platform/store.go
+++ b/review/rig-2/platform/store.go
@@ -90,6 +90,14 @@
 	s.part(topic, "0").add(key, value)
 }
 
+// has reports whether a partition has a record of the key.
+func (s *store) has(topic, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.part(topic, "0").newest[key]
+	return known
+}
+
 // register takes a sign of life of a worker. Its record changes if its entry has.
 func (s *store) register(id string, entry []byte) {
 	s.mu.Lock()
--- a/review/rig-2/platform/worker.go
+++ b/review/rig-2/platform/worker.go
@@ -24,8 +24,6 @@
 	// maxHold is the longest lease, checkpointInterval the work between two checkpoints.
 	maxHold            = 6 * time.Second
 	checkpointInterval = 500 * time.Millisecond
-	// quietTail is the tail latency that a serving task reports, in milliseconds.
-	quietTail = 5
 )
 
 // taskSpec says what a task of a step does. The callers write it into the spec of the
@@ -37,6 +35,18 @@
 	Lasts bool  `json:"lasts"`
 	// Advised tasks need a ticket.
 	Advised bool `json:"advised"`
+	// Fills is set for tasks whose processors don't count against the capacity.
+	Fills bool `json:"fills"`
+	// Tail is the tail latency of a task that serves, in milliseconds.
+	Tail int64 `json:"tail"`
+}
+
+// counted returns the processors that a task takes from the capacity.
+func (s taskSpec) counted() int64 {
+	if s.Fills {
+		return 0
+	}
+	return s.CPU
 }
 
 // workerRun is a run on a worker.
@@ -165,9 +175,9 @@
 
 // hasRoom reports whether a task fits beside the others.
 func (w *worker) hasRoom(s taskSpec) bool {
-	cpu, mem := s.CPU, s.MemMB
+	cpu, mem := s.counted(), s.MemMB
 	for _, r := range w.runs {
-		cpu, mem = cpu+r.spec.CPU, mem+r.spec.MemMB
+		cpu, mem = cpu+r.spec.counted(), mem+r.spec.MemMB
 	}
 	return cpu <= w.cpu && mem <= w.memMB
 }
@@ -249,8 +259,8 @@
 	running, finished := []any{}, []any{}
 	for _, x := range w.runs {
 		figure := x.spec.CPU
-		if x.spec.Lasts {
-			figure = quietTail
+		if x.spec.Tail > 0 {
+			figure = x.spec.Tail
 		}
 		running = append(running, []any{x.task, x.run, x.saved, x.percent(), figure})
 	}
