Log and count the calls of the advice service

On the log has no line for an answer of the advice service, so that these can't be told apart: the service doesn't answer, it permits no worker, the tickets have ended on arrival, or the workers refuse them.

Change: log lines adviceAnswered and adviceFailed with the workers asked, the calls ahead, the time that the call took and what is left of its tickets; stepWaiting counts the workers with room for which the step has no ticket (unadvised). Counters asked, adviceFailed and lateTickets, and a counter and a histogram of the calls. No decision is changed.

The last stepWaiting: 41 steps, unadvised 8 of 8, usedPercent 0.

The calls wait for one another, in a queue that only the planner makes, until their tickets are worth nothing.

--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -10,13 +10,16 @@
 // their own, Entry.MetricsListener.
 const MetricsPath = "/metrics"
 
-// registerMetrics wraps the store and the runner, so that their calls are counted,
-// and registers the gauges of the instance.
+// registerMetrics wraps the store, the runner and the advisor, so that their calls are
+// counted, and registers the gauges of the instance.
 func (e *Entry) registerMetrics() {
 	if e.Meter == nil {
 		e.Meter = meter.New(e.Clock)
 	}
 	e.Store, e.Runner = e.Meter.WrapStore(e.Store), e.Meter.WrapOrderClient(e.Runner)
+	if e.Advisor != nil {
+		e.Advisor = e.Meter.WrapAdvisor(e.Advisor)
+	}
 	e.Meter.RegisterGauges(meter.Gauges{
 		Cells: func() float64 { return float64(e.plannedCells()) },
 		Catalog: func() float64 {
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -86,6 +86,9 @@
 		{"crashes", before.Crashes, after.Crashes},
 		{"givenUp", before.GivenUp, after.GivenUp},
 		{"ratings", before.Ratings, after.Ratings},
+		{"asked", before.Asked, after.Asked},
+		{"adviceFailed", before.AdviceFailed, after.AdviceFailed},
+		{"lateTickets", before.LateTickets, after.LateTickets},
 	}
 	for _, r := range rows {
 		m.set.GetOrCreateCounter(fmt.Sprintf("%s{what=%q}", plannerTotal, r.what)).Add(int(r.after - r.before))
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -14,7 +14,9 @@
 		{readsTotal, "counter", "Reads of the store, by result."},
 		{ordersTotal, "counter", "Orders to workers by order (start, stop, pace, lease) and result: ok, refused, unavailable, uncertain."},
 		{orderSeconds, "histogram", "Time of an order, by order. A lease may wait at the worker."},
-		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers), ratings (of a worker for the tasks of a step)."},
+		{advicesTotal, "counter", "Calls of the advice service, by result: ok, unavailable, uncertain."},
+		{adviceSeconds, "histogram", "Time of a call of the advice service."},
+		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers), ratings (of a worker for the tasks of a step), asked (calls of the advice service), adviceFailed (such calls without an answer), lateTickets (tickets that had ended on arrival)."},
 		{plannerSeconds, "counter", "Time in which the thread of a planner here was busy, by work: the kind of message, place (of waiting tasks), flush (records) and effects (orders). Near 1 a second it is overloaded."},
 		{plannerWorks, "counter", "Messages and other works behind that time, by work."},
 		{plannerWait, "histogram", "Longest time that a message waited for that thread, once a second."},
@@ -35,6 +37,8 @@
 	readsTotal     = "parsleybarrow_store_reads_total"
 	ordersTotal    = "parsleybarrow_worker_orders_total"
 	orderSeconds   = "parsleybarrow_worker_order_duration_seconds"
+	advicesTotal   = "parsleybarrow_advice_calls_total"
+	adviceSeconds  = "parsleybarrow_advice_call_duration_seconds"
 	plannerTotal   = "parsleybarrow_planner_total"
 	plannerSeconds = "parsleybarrow_planner_busy_seconds_total"
 	plannerWorks   = "parsleybarrow_planner_works_total"
--- a/internal/process/meter/wrap.go
+++ b/internal/process/meter/wrap.go
@@ -92,6 +92,23 @@
 	return a, err
 }
 
+// WrapAdvisor wraps an advisor so that its calls are counted and timed.
+func (m *Meter) WrapAdvisor(a sched.Advisor) sched.Advisor { return &advisor{a, m} }
+
+type advisor struct {
+	sched.Advisor
+	meter *Meter
+}
+
+// Advise implements sched.Advisor.
+func (a *advisor) Advise(c context.Context, s sched.StepRef, workers []sched.InstanceID) ([]sched.Ticket, time.Duration, error) {
+	start := a.meter.Clock.Now()
+	tickets, validity, err := a.Advisor.Advise(c, s, workers)
+	a.meter.count(advicesTotal, fmt.Sprintf("result=%q", resultOf(err)))
+	a.meter.time(adviceSeconds, "", start)
+	return tickets, validity, err
+}
+
 // WrapJobService wraps a desk so that callers' requests are counted and timed.
 func (m *Meter) WrapJobService(d sched.JobService) sched.JobService { return &desk{d, m} }
 
--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -29,9 +29,11 @@
 // stepAdvice is what the advisor has answered about a step.
 type stepAdvice struct {
 	// inFlight is set while a question about the step has no result. asked holds the
-	// workers in it and their incarnations at that time.
+	// workers in it and their incarnations at that time, and waiting is for how long the
+	// step had waited then.
 	inFlight bool
 	asked    map[sched.InstanceID]int64
+	waiting  time.Duration
 	// retryAt is the earliest time of the next question.
 	retryAt time.Time
 	// tickets holds the ticket of each worker that may run the step.
@@ -69,6 +71,8 @@
 type AdviceCall struct {
 	Step    sched.StepRef
 	Workers []sched.InstanceID
+	// Ahead is the number of calls of the planner that had no answer yet.
+	Ahead int
 }
 
 // AdviceResult is the result of an AdviceCall.
@@ -111,8 +115,13 @@
 		a.retryAt = now.Add(adviceRetry)
 		return false
 	}
-	c := AdviceCall{Step: ref}
+	c := AdviceCall{Step: ref, Ahead: p.adviceCalls}
 	a.inFlight, a.asked = true, map[sched.InstanceID]int64{}
+	if !w.waitingSince.IsZero() {
+		a.waiting = now.Sub(w.waitingSince)
+	}
+	p.adviceCalls++
+	p.stats.Asked++
 	for _, h := range others[:min(len(others), maxAdviceWorkers)] {
 		c.Workers = append(c.Workers, h.ID)
 		a.asked[h.ID] = h.NewestIncarnation()
@@ -158,17 +167,26 @@
 // Advised handles the result of an AdviceCall. Earlier tickets of other workers stay
 // valid.
 func (p *Planner) Advised(now time.Time, r AdviceResult) {
+	p.adviceCalls--
 	a := p.advice[r.Call.Step]
 	if a == nil {
 		return
 	}
 	a.inFlight = false
+	log := p.options.Log.With(zap.String("job", string(r.Call.Step.Job)), zap.Int("occurrence", r.Call.Step.Occurrence),
+		zap.Int("step", r.Call.Step.Step), zap.Int("asked", len(r.Call.Workers)), zap.Int("ahead", r.Call.Ahead),
+		zap.Duration("waited", a.waiting), zap.Duration("took", now.Sub(r.Sent)))
 	if r.Err != nil {
-		p.options.Log.Info("adviceFailed", zap.String("job", string(r.Call.Step.Job)),
-			zap.Int("step", r.Call.Step.Step), zap.Error(r.Err))
+		p.stats.AdviceFailed++
+		log.Info("adviceFailed", zap.Error(r.Err))
 		a.retryAt = now.Add(adviceRetry)
 		return
 	}
+	left := r.Sent.Add(r.Validity - ticketMargin).Sub(now)
+	if left <= 0 {
+		p.stats.LateTickets += int64(len(r.Tickets))
+	}
+	log.Info("adviceAnswered", zap.Int("tickets", len(r.Tickets)), zap.Duration("left", left))
 	maps.Copy(a.refused, a.asked)
 	for _, t := range r.Tickets {
 		if t.Text == "" {
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -121,6 +121,8 @@
 	countedGangRuns map[sched.StepRef]int
 	// advice holds the advisor's answers for steps whose queue needs them.
 	advice map[sched.StepRef]*stepAdvice
+	// adviceCalls is the number of calls of the advisor that have no result.
+	adviceCalls int
 	// service holds the rules of services by name. Nothing reads it.
 	service map[string]sched.ServiceRules
 	// learnedRecordedAt is when the LearnedKey record was last added to a batch.
@@ -140,11 +142,13 @@
 // elsewhere, Copies the speculative copies, HeldUp the tasks that waited for
 // heldUpDelay though a worker had room, Crashes the crashes of workers under runs, GivenUp
 // the jobs that failed because a task crashed its workers, and Ratings how often a worker
-// was rated for the tasks of a step.
+// was rated for the tasks of a step. Asked counts the calls of the advisor, AdviceFailed
+// those without an answer, and LateTickets the tickets that had ended on arrival.
 type Stats struct {
 	Accepted, Refused, Starts, Ends, Failed, Lost, Stops int64
 	NoRoom, Paces, Moves, Copies, HeldUp                 int64
 	Crashes, GivenUp, Ratings                            int64
+	Asked, AdviceFailed, LateTickets                     int64
 }
 
 // job is the durable state of a job with the part that the planner keeps in
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -32,9 +32,9 @@
 type obstacles struct {
 	// unusable workers are not in service for the step, isolated ones run a suspect of a
 	// crash that has to be alone, full ones lack room, suspected ones have room and are
-	// avoided, and those that are disturbed or slow have serving tasks that can't bear the
-	// filler, or leave it too few processors.
-	unusable, isolated, full, suspected, disturbed, slow int
+	// avoided, unadvised ones lack a ticket, and those that are disturbed or slow have
+	// serving tasks that can't bear the filler, or leave it too few processors.
+	unusable, isolated, full, suspected, unadvised, disturbed, slow int
 }
 
 // obstaclesOf returns what keeps the tasks of a waiting step off the workers.
@@ -51,6 +51,8 @@
 			o.full++
 		case p.judge.Avoid(now, h.ID):
 			o.suspected++
+		case !p.hasTicket(now, w, h):
+			o.unadvised++
 		case step.Filler:
 			part, v := h.ProcessorShare(step.Needs.Processors), h.FillerRoom(p.interference)
 			if v.SlackWith(step.Image, part) < 0 {
@@ -90,7 +92,7 @@
 		zap.Int("occurrence", w.occurrence.Number), zap.Int("step", w.step), zap.Duration("waited", waited),
 		zap.Int("waiting", len(w.tasks)), zap.Int("class", int(w.claim.Class)), zap.Bool("filler", w.job.Steps[w.step].Filler),
 		zap.Int("workers", len(p.workers)), zap.Int("unusable", o.unusable), zap.Int("isolated", o.isolated), zap.Int("full", o.full),
-		zap.Int("suspected", o.suspected), zap.Int("disturbed", o.disturbed), zap.Int("slow", o.slow),
+		zap.Int("suspected", o.suspected), zap.Int("unadvised", o.unadvised), zap.Int("disturbed", o.disturbed), zap.Int("slow", o.slow),
 		zap.Int("usedPercent", int(100*p.serviceUse(w.job.Queue.Service))),
 		zap.Int("steps", len(p.waitingSteps)))
 }
