Keep calls of the advice service in the planner until it is their turn

Cause: the advice service handles one call of an instance at a time. The planner asked for every waiting step at once, so that the calls waited for one another at the service and in the connections to it. Once eight waited, each ticket had ended on arrival; its step asked again, behind the others. Calls that were given up after 5 s went on at the service. Nothing ever shortened that queue, and nothing could overtake in it.

Change: turns.Line spaces the calls of an instance, over all its cells, in turn. The next call is sent 100 ms before the service is expected to be free, by the queue's settings and by what recent calls took; it goes to the waiting step with the first claim. Failed calls delay the next one, up to 1 s, and those of one step up to 2 s. What a call may take follows from the settings, plus a slack that grows while calls are given up.

Why it works: a call waits at the service for 100 ms at most, or for one other, so that its ticket is as fresh as the service can make it, wherever its validity counts from.

--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -89,6 +89,7 @@
 		Term:        lead.Term{ID: e.Self.ID, Incarnation: e.Self.Incarnation, Address: e.Self.Address},
 		Predecessor: lead.Term{ID: from.ID, Incarnation: from.Incarnation, Number: from.Term},
 	}
+	l.Options.AdviceLine = &e.adviceLine
 	l.Options.PredecessorStopped = k.predecessorEnded(from)
 	l.OnStats, l.OnLoad = e.Meter.AddPlannerStats, e.Meter.AddPlannerLoad
 	l.Spend = e.Spend
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
 
 // Entry is one entry instance. Exported fields are set before Run.
@@ -61,6 +62,9 @@
 	// other instances carry out its orders. With 0 it never has.
 	AgentsFrom int
 
+	// adviceLine is shared by the planners here: the advisor handles the calls of one
+	// instance one at a time.
+	adviceLine  turns.Line
 	directory   *peers.Directory
 	relay       *relay.Client
 	catalog     atomic.Pointer[catalog]
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -96,15 +96,12 @@
 	l.post(workLeased, func() { l.planner.Leased(r.Received, r) })
 }
 
-// adviceTimeout bounds a call of the advisor, including the wait for earlier
-// calls: the advisor answers one call of an instance at a time.
-const adviceTimeout = 5 * time.Second
-
 func (l *Leader) advise(a cell.AdviceCall) {
-	x, cancel := context.WithTimeout(l.callContext, adviceTimeout)
+	x, cancel := context.WithTimeout(l.callContext, a.Timeout)
 	defer cancel()
 	r := cell.AdviceResult{Call: a, Sent: l.Clock.Now()}
 	r.Tickets, r.Validity, r.Err = l.Advisor.Advise(x, a.Step, a.Workers)
+	r.Received = l.Clock.Now()
 	l.post(workAdvised, func() { l.planner.Advised(l.Clock.Now(), r) })
 }
 
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -17,6 +17,7 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
 
 // Leader runs the planner of one cell for one term. Exported fields are set before
@@ -132,6 +133,9 @@
 	defer stop()
 	l.callContext = work
 	l.Options.Term, l.Options.Log = l.termNumber, l.Log
+	if l.Options.AdviceLine == nil {
+		l.Options.AdviceLine = &turns.Line{}
+	}
 	if l.planner, err = l.newPlanner(restored); err != nil {
 		return l.ended(err)
 	}
@@ -148,6 +152,7 @@
 	err = l.appendLoop(c)
 	l.Log.Info("termEnded", zap.Int64("term", int64(l.termNumber)), zap.Error(err))
 	close(l.stopped)
+	l.Options.AdviceLine.Leave(l.planner)
 	l.effects.Lock()
 	l.finished.Store(true)
 	l.effects.Unlock()
--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/hosts"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
 
 const (
@@ -19,9 +20,11 @@
 	// ticketMargin is the time before the end of a ticket from which on the
 	// ticket isn't used.
 	ticketMargin = 300 * time.Millisecond
-	// adviceRetry is the delay of the next question after an error, or if there
-	// was no worker to ask about.
+	// adviceRetry is the delay of the next question if there was no worker to ask about.
 	adviceRetry = 200 * time.Millisecond
+	// maxAdviceRetry bounds the delay of the next question about a step after several in a
+	// row had no answer.
+	maxAdviceRetry = 2 * time.Second
 	// adviceRetention is how long unused advice is kept.
 	adviceRetention = time.Minute
 )
@@ -34,8 +37,10 @@
 	inFlight bool
 	asked    map[sched.InstanceID]int64
 	waiting  time.Duration
-	// retryAt is the earliest time of the next question.
-	retryAt time.Time
+	// retryAt is the earliest time of the next question. failures is the number of
+	// questions in a row that had no answer.
+	retryAt  time.Time
+	failures int
 	// tickets holds the ticket of each worker that may run the step.
 	tickets map[sched.InstanceID]stepTicket
 	// refused holds the incarnations of the workers that got no ticket. The advisor
@@ -69,20 +74,24 @@
 // AdviceCall asks the advisor which of the workers may run the step. Its result
 // goes to Planner.Advised.
 type AdviceCall struct {
+	// ID is the number of the call in Options.AdviceLine.
+	ID      int64
 	Step    sched.StepRef
 	Workers []sched.InstanceID
-	// Ahead is the number of calls of the planner that had no answer yet.
-	Ahead int
+	// Expected is how long the call is expected to take, with the wait for earlier ones. It
+	// has failed if there is no answer after Timeout.
+	Expected, Timeout time.Duration
 }
 
 // AdviceResult is the result of an AdviceCall.
 type AdviceResult struct {
 	Call AdviceCall
-	// Sent is when the call was sent, from which Validity counts.
-	Sent     time.Time
-	Tickets  []sched.Ticket
-	Validity time.Duration
-	Err      error
+	// Sent and Received are when the call began and ended. The platform doesn't tell whether
+	// Validity counts from the call or from the answer; the planner counts it from the call.
+	Sent, Received time.Time
+	Tickets        []sched.Ticket
+	Validity       time.Duration
+	Err            error
 }
 
 // waitingStepRef returns the reference of a waiting step.
@@ -92,7 +101,9 @@
 
 // ensureAdvice reports whether the workers with valid tickets have room for a task
 // of the step, or for all of a gang. If they haven't, it asks the advisor, unless a
-// question is on its way or the delay after the last one isn't over.
+// question is on its way, the delay after the last one isn't over, or it is another step's
+// turn. Steps are passed over in the order of their claims, so that is the order in which
+// they ask.
 func (p *Planner) ensureAdvice(now time.Time, w *waitingStep) bool {
 	ref := waitingStepRef(w)
 	a := p.advice[ref]
@@ -101,12 +112,11 @@
 		p.advice[ref] = a
 	}
 	a.usedAt = now
-	step := &w.job.Steps[w.step]
 	ticketed := p.ticketedWorkers(now, w, a)
-	if len(ticketed) > 0 && (!step.Gang || p.pack(w, ticketed) != nil) {
+	if len(ticketed) > 0 && (!w.job.Steps[w.step].Gang || p.pack(w, ticketed) != nil) {
 		return true
 	}
-	if a.inFlight || now.Before(a.retryAt) {
+	if a.inFlight || now.Before(a.retryAt) || !p.options.AdviceLine.Free(now, p) {
 		return false
 	}
 	others := p.adviceCandidates(now, w, a)
@@ -115,19 +125,29 @@
 		a.retryAt = now.Add(adviceRetry)
 		return false
 	}
-	c := AdviceCall{Step: ref, Ahead: p.adviceCalls}
+	p.ask(now, w, a, others[:min(len(others), maxAdviceWorkers)])
+	return false
+}
+
+// adviceTime returns how long the advisor takes for a call about n workers.
+func adviceTime(s *sched.AdviceSettings, n int) time.Duration {
+	return s.Decision + time.Duration(n)*s.PerWorker
+}
+
+// ask calls the advisor about the workers for a step.
+func (p *Planner) ask(now time.Time, w *waitingStep, a *stepAdvice, workers []*hosts.Host) {
+	c := AdviceCall{Step: waitingStepRef(w)}
 	a.inFlight, a.asked = true, map[sched.InstanceID]int64{}
+	for _, h := range workers {
+		c.Workers = append(c.Workers, h.ID)
+		a.asked[h.ID] = h.NewestIncarnation()
+	}
 	if !w.waitingSince.IsZero() {
 		a.waiting = now.Sub(w.waitingSince)
 	}
-	p.adviceCalls++
+	c.ID, c.Expected, c.Timeout = p.options.AdviceLine.Begin(now, p, adviceTime(w.job.Queue.Advice, len(workers)))
 	p.stats.Asked++
-	for _, h := range others[:min(len(others), maxAdviceWorkers)] {
-		c.Workers = append(c.Workers, h.ID)
-		a.asked[h.ID] = h.NewestIncarnation()
-	}
 	p.effects.Advice = append(p.effects.Advice, c)
-	return false
 }
 
 // ticketedWorkers returns the workers with a valid ticket that have room for a task of
@@ -167,37 +187,36 @@
 // Advised handles the result of an AdviceCall. Earlier tickets of other workers stay
 // valid.
 func (p *Planner) Advised(now time.Time, r AdviceResult) {
-	p.adviceCalls--
+	p.options.AdviceLine.End(r.Received, r.Call.ID, r.Err == nil)
 	a := p.advice[r.Call.Step]
 	if a == nil {
 		return
 	}
 	a.inFlight = false
 	log := p.options.Log.With(zap.String("job", string(r.Call.Step.Job)), zap.Int("occurrence", r.Call.Step.Occurrence),
-		zap.Int("step", r.Call.Step.Step), zap.Int("asked", len(r.Call.Workers)), zap.Int("ahead", r.Call.Ahead),
-		zap.Duration("waited", a.waiting), zap.Duration("took", now.Sub(r.Sent)))
+		zap.Int("step", r.Call.Step.Step), zap.Int("asked", len(r.Call.Workers)), zap.Duration("waited", a.waiting),
+		zap.Duration("expected", r.Call.Expected), zap.Duration("took", r.Received.Sub(r.Sent)))
 	if r.Err != nil {
 		p.stats.AdviceFailed++
 		log.Info("adviceFailed", zap.Error(r.Err))
-		a.retryAt = now.Add(adviceRetry)
+		a.failures++
+		a.retryAt = now.Add(turns.Backoff(a.failures, maxAdviceRetry))
 		return
 	}
-	left := r.Sent.Add(r.Validity - ticketMargin).Sub(now)
-	if left <= 0 {
+	a.failures = 0
+	until := r.Sent.Add(r.Validity - ticketMargin)
+	if !now.Before(until) {
 		p.stats.LateTickets += int64(len(r.Tickets))
 	}
-	log.Info("adviceAnswered", zap.Int("tickets", len(r.Tickets)), zap.Duration("left", left))
+	log.Info("adviceAnswered", zap.Int("tickets", len(r.Tickets)), zap.Duration("left", until.Sub(now)))
 	maps.Copy(a.refused, a.asked)
 	for _, t := range r.Tickets {
 		if t.Text == "" {
 			continue // a worker would refuse a start without a ticket
 		}
-		a.tickets[t.Worker] = stepTicket{t.Text, a.asked[t.Worker], r.Sent.Add(r.Validity - ticketMargin)}
+		a.tickets[t.Worker] = stepTicket{t.Text, a.asked[t.Worker], until}
 		delete(a.refused, t.Worker)
 	}
-	if len(r.Tickets) == 0 {
-		a.retryAt = now
-	}
 }
 
 // hasTicket reports whether the worker may run tasks of the step: it has a valid
--- a/pkg/cell/advice_test.go
+++ b/pkg/cell/advice_test.go
@@ -57,7 +57,7 @@
 					tickets = append(tickets, sched.Ticket{Worker: id, Text: "t"})
 				}
 			}
-			r.planner.Advised(r.now, cell.AdviceResult{Call: c, Sent: sent, Tickets: tickets, Validity: ticketValidity})
+			r.planner.Advised(r.now, cell.AdviceResult{Call: c, Sent: sent, Received: r.now, Tickets: tickets, Validity: ticketValidity})
 		}
 		for _, l := range slices.Clone(r.effects.Leases) {
 			r.exchange(l.Worker.ID, sched.LeaseAnswer{}, nil)
@@ -156,7 +156,7 @@
 			for _, id := range row.before {
 				tickets = append(tickets, sched.Ticket{Worker: id, Text: "t"})
 			}
-			r.planner.Advised(r.now, cell.AdviceResult{Call: call, Sent: r.now, Tickets: tickets, Validity: ticketValidity})
+			r.planner.Advised(r.now, cell.AdviceResult{Call: call, Sent: r.now, Received: r.now, Tickets: tickets, Validity: ticketValidity})
 			w := worker(1)
 			w.Incarnation = 2
 			r.planner.Listed(r.now, w)
@@ -177,7 +177,7 @@
 	call := r.effects.Advice[0]
 	r.effects.Advice = nil
 	r.planner.Advised(r.now, cell.AdviceResult{
-		Call: call, Sent: r.now, Tickets: []sched.Ticket{{Worker: "w1"}}, Validity: ticketValidity,
+		Call: call, Sent: r.now, Received: r.now, Tickets: []sched.Ticket{{Worker: "w1"}}, Validity: ticketValidity,
 	})
 	i.Equal(len(r.run(time.Second)), 0)
 	i.Equal(len(r.asked), 0)
--- /dev/null
+++ b/pkg/cell/advice_trouble_test.go
@@ -0,0 +1,122 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Guards against an advice service that is idle, or answers for nothing, while steps wait for
+// it, and against calls that wait there and can't be overtaken.
+func TestAnOverloadedAdviceServiceStaysBusy(t *testing.T) {
+	for _, fromArrival := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fromArrival=%t", fromArrival), func(t *testing.T) {
+			i := is.New(t)
+			s := &adviceService{settings: checkAdvice, fromArrival: fromArrival}
+			l := newAdviceLoad(t, 8, s)
+			l.runFor(60*time.Second, func(time.Duration) float64 { return 8 })
+			i.True(len(l.firstRun) >= 158) // nine tenths of 60 s / 0.34 s
+			i.True(s.most <= 2)
+			i.Equal(l.refusedStarts, 0)
+		})
+	}
+}
+
+// Guards against urgent steps that wait behind others that can wait.
+func TestUrgentStepsAskFirst(t *testing.T) {
+	i := is.New(t)
+	s := &adviceService{settings: checkAdvice}
+	l := newAdviceLoad(t, 8, s)
+	for n := range 20 {
+		j := check(n)
+		j.Queue.Priority = 1
+		l.submitAdvised(j)
+	}
+	l.runFor(time.Second, nothing)
+	urgent := check(20)
+	l.submitAdvised(urgent)
+	l.runFor(1200*time.Millisecond, nothing) // two calls and the way of the order
+	i.True(!l.firstRun[urgent.ID].IsZero())
+}
+
+// Guards against work that doesn't go on after the advice service was away, refused calls or
+// stood still in a burst.
+func TestWorkGoesOnAfterTroubleOfTheAdviceService(t *testing.T) {
+	rows := []struct {
+		name       string
+		begin, end func(s *adviceService, now time.Time)
+	}{
+		{
+			"away", func(s *adviceService, _ time.Time) { s.silent = true },
+			func(s *adviceService, _ time.Time) { s.silent = false },
+		},
+		{
+			"refusing", func(s *adviceService, _ time.Time) { s.full = true },
+			func(s *adviceService, _ time.Time) { s.full = false },
+		},
+		{
+			"standing still", func(s *adviceService, now time.Time) { s.freeAt = now.Add(5 * time.Second) },
+			func(*adviceService, time.Time) {},
+		},
+		{
+			"slow", func(s *adviceService, _ time.Time) { s.slowness = 5 },
+			func(s *adviceService, _ time.Time) { s.slowness = 1 },
+		},
+	}
+	for _, row := range rows {
+		for _, fromArrival := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/fromArrival=%t", row.name, fromArrival), func(t *testing.T) {
+				i := is.New(t)
+				s := &adviceService{settings: checkAdvice, fromArrival: fromArrival}
+				l := newAdviceLoad(t, 8, s)
+				l.runFor(9*time.Second, burst)
+				row.begin(s, l.now)
+				l.runFor(5*time.Second, func(at time.Duration) float64 { return burst(at + 9*time.Second) })
+				row.end(s, l.now)
+				l.runFor(20*time.Second, func(time.Duration) float64 { return 2 })
+				l.runFor(14*time.Second, nothing)
+				i.Equal(len(l.unfinished()), 0)
+			})
+		}
+	}
+}
+
+// Guards against a step for which the service never answers well, and that keeps all
+// others from asking.
+func TestAStepWithoutAnAnswerDoesNotHoldUpOthers(t *testing.T) {
+	i := is.New(t)
+	s := &adviceService{settings: checkAdvice, refuses: check(0).ID}
+	l := newAdviceLoad(t, 4, s)
+	l.runFor(20*time.Second, func(time.Duration) float64 { return 2 })
+	l.runFor(5*time.Second, nothing)
+	i.Equal(l.unfinished(), []sched.JobID{check(0).ID})
+}
+
+// Guards against a new planner whose steps all ask at once.
+func TestANewPlannerAsksStepByStep(t *testing.T) {
+	i := is.New(t)
+	s := &adviceService{settings: checkAdvice, fromArrival: true}
+	l := newAdviceLoad(t, 8, s)
+	var restored []*jobs.Job
+	for n := range 24 {
+		j := check(n)
+		j.Queue.Advice = &s.settings
+		k := jobs.New(j.WithSubmittedAt(l.now))
+		k.Begin(l.now, sched.MaxTasks)
+		restored = append(restored, k)
+		l.submitted[j.ID] = l.now
+	}
+	l.succeed(restored, 2)
+	for k := range 8 {
+		l.planner.Listed(l.now, worker(k+1))
+	}
+	l.runFor(12*time.Second, nothing)
+	i.Equal(len(l.unfinished()), 0)
+	i.True(s.most <= 2)
+	i.Equal(l.refusedStarts, 0)
+}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -14,6 +14,7 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/share"
 	"github.com/parsleybarrow/parsleybarrow/pkg/suspct"
+	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
 
 // Options are the settings of a Planner. They don't change during its term.
@@ -44,6 +45,9 @@
 	// PredecessorStopped is set if the preceding planner is known to send no more orders.
 	// Otherwise it may renew leases for another ProofValidity.
 	PredecessorStopped bool
+	// AdviceLine spaces the calls of the advisor, which handles those of one instance one
+	// at a time. The planners of an instance share it; one without has its own.
+	AdviceLine *turns.Line
 	// RecordLimit and BatchLimit are the sizes of the largest record and of the largest
 	// batch that the store takes, in bytes, 0 if there is no limit.
 	RecordLimit, BatchLimit int
@@ -121,8 +125,6 @@
 	countedGangRuns map[sched.StepRef]int
 	// advice holds the advisor's answers for steps whose queue needs them.
 	advice map[sched.StepRef]*stepAdvice
-	// adviceCalls is the number of calls of the advisor that have no result.
-	adviceCalls int
 	// service holds the rules of services by name. Nothing reads it.
 	service map[string]sched.ServiceRules
 	// learnedRecordedAt is when the LearnedKey record was last added to a batch.
@@ -224,6 +226,9 @@
 		advice: map[sched.StepRef]*stepAdvice{}, noRoomElsewhere: map[string]time.Time{}, service: map[string]sched.ServiceRules{},
 		provenAt: now, inheritedLeaseEnd: now.Add(o.LeaseLimit + leaseClockMargin),
 	}
+	if o.AdviceLine == nil {
+		p.options.AdviceLine = &turns.Line{}
+	}
 	if !o.PredecessorStopped {
 		p.inheritedLeaseEnd = p.inheritedLeaseEnd.Add(ProofValidity)
 	}
