Don't send a start whose ticket has ended while its record was written

The worker refuses it, and all tickets of the step were given up with it.

Change: sendStart checks the ticket like the lease; without a valid one the run is given up and its task waits again.

Test: TestAStartIsNotSentOnceItsTicketHasEnded, which failed before (one start was sent).

--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -222,16 +222,22 @@
 // hasTicket reports whether the worker may run tasks of the step: it has a valid
 // ticket, or the queue needs no advice.
 func (p *Planner) hasTicket(now time.Time, w *waitingStep, h *hosts.Host) bool {
-	if w.job.Queue.Advice == nil {
+	return p.permitted(now, w.job, waitingStepRef(w), h)
+}
+
+// permitted reports whether tasks of a step of the job may start on the worker as far as
+// advice is concerned.
+func (p *Planner) permitted(now time.Time, j *job, r sched.StepRef, h *hosts.Host) bool {
+	if j.Queue.Advice == nil {
 		return true
 	}
-	a := p.advice[waitingStepRef(w)]
+	a := p.advice[r]
 	return a != nil && a.valid(now, h)
 }
 
 // ticketFor returns the ticket for the start of a task on a worker, empty if
 // there is none.
-func (p *Planner) ticketFor(_ time.Time, r sched.TaskRef, h *hosts.Host) string {
+func (p *Planner) ticketFor(r sched.TaskRef, h *hosts.Host) string {
 	if a := p.advice[stepRefOf(r)]; a != nil {
 		return a.tickets[h.ID].text
 	}
--- a/pkg/cell/advice_trouble_test.go
+++ b/pkg/cell/advice_trouble_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -120,3 +121,24 @@
 	i.True(s.most <= 2)
 	i.Equal(l.refusedStarts, 0)
 }
+
+// Guards against a planner that sends a start with a ticket that has ended while the record
+// of the placement was written.
+func TestAStartIsNotSentOnceItsTicketHasEnded(t *testing.T) {
+	i := is.New(t)
+	r := newAdvisedRig(t, 1, "w1")
+	r.submitAdvised(step())
+	r.commit()
+	call := r.effects.Advice[0]
+	r.effects.Advice = nil
+	r.planner.Advised(r.now, cell.AdviceResult{
+		Call: call, Sent: r.now, Received: r.now, Tickets: []sched.Ticket{{Worker: "w1", Text: "t"}}, Validity: ticketValidity,
+	})
+	r.pass(25 * time.Millisecond) // places the task
+	i.True(r.flight)
+	r.now = r.now.Add(ticketValidity)
+	r.commit()
+	i.Equal(len(r.starts()), 0)
+	starts := r.run(time.Second) // with a new ticket
+	i.Equal(len(starts), 1)
+}
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -279,8 +279,8 @@
 }
 
 // sendStart orders the start of a run whose placement is durable. If no order
-// may be sent, no lease be granted, or the worker can't take the run any more, the run
-// is given up and the task waits again.
+// may be sent, no lease be granted, the ticket has ended meanwhile, or the worker can't take
+// the run any more, the run is given up and the task waits again.
 func (p *Planner) sendStart(now time.Time, s placement) {
 	h := p.workers[s.worker]
 	if h == nil {
@@ -292,7 +292,8 @@
 		return
 	}
 	lease := h.Grant(now, p.options.LeaseLimit)
-	if j == nil || j.State.Final() || lease == 0 || !mayStart(h, slot, j.Queue.Service) || !p.mayOrder(now) {
+	if j == nil || j.State.Final() || lease == 0 || !mayStart(h, slot, j.Queue.Service) || !p.mayOrder(now) ||
+		!p.permitted(now, j, stepRefOf(s.key.Task), h) {
 		p.loseRun(now, h, slot, "notSent")
 		return
 	}
@@ -301,7 +302,7 @@
 	p.stats.Starts++
 	p.effects.Starts = append(p.effects.Starts, StartCall{Worker: h.Worker, Order: sched.StartOrder{
 		Task: s.key.Task, Run: s.key.Run, Payload: j.Payload, Lease: lease, Token: slot.Token,
-		Checkpoint: p.resumeCheckpoint(j, s.key.Task, t), Ticket: p.ticketFor(now, s.key.Task, h),
+		Checkpoint: p.resumeCheckpoint(j, s.key.Task, t), Ticket: p.ticketFor(s.key.Task, h),
 	}})
 }
 
