Give up only the tickets that are as old as a refused one

Seen by reading and by the tests only.

Change: a refusal ends the tickets that were received no later than the refused one, once. Questions about a step whose tickets are refused are spaced like those without an answer, 0.2 s to 2 s, until a start is taken.

Tests: TestARefusedTicketEndsNoNewerOnes (before: the other worker was asked about twice) and TestAWorkerThatRefusesItsTicketsIsAskedAboutSeldom (before: over 14 calls in 20 s) failed before.

--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -23,7 +23,7 @@
 	// adviceRetry is the delay of the next question if there was no worker to ask about.
 	adviceRetry = 200 * time.Millisecond
 	// maxAdviceRetry bounds the delay of the next question about a step after several in a
-	// row had no answer.
+	// row were of no use.
 	maxAdviceRetry = 2 * time.Second
 	// adviceRetention is how long unused advice is kept.
 	adviceRetention = time.Minute
@@ -37,10 +37,10 @@
 	inFlight bool
 	asked    map[sched.InstanceID]int64
 	waiting  time.Duration
-	// retryAt is the earliest time of the next question. failures is the number of
-	// questions in a row that had no answer.
-	retryAt  time.Time
-	failures int
+	// retryAt is the earliest time of the next question. fruitless is the number of
+	// questions in a row that had no answer, or whose tickets a worker has refused.
+	retryAt   time.Time
+	fruitless int
 	// tickets holds the ticket of each worker that may run the step.
 	tickets map[sched.InstanceID]stepTicket
 	// refused holds the incarnations of the workers that got no ticket. The advisor
@@ -55,6 +55,7 @@
 type stepTicket struct {
 	text        string
 	incarnation int64
+	receivedAt  time.Time
 	validUntil  time.Time
 }
 
@@ -199,11 +200,9 @@
 	if r.Err != nil {
 		p.stats.AdviceFailed++
 		log.Info("adviceFailed", zap.Error(r.Err))
-		a.failures++
-		a.retryAt = now.Add(turns.Backoff(a.failures, maxAdviceRetry))
+		a.backOff(now)
 		return
 	}
-	a.failures = 0
 	until := r.Sent.Add(r.Validity - ticketMargin)
 	if !now.Before(until) {
 		p.stats.LateTickets += int64(len(r.Tickets))
@@ -214,11 +213,18 @@
 		if t.Text == "" {
 			continue // a worker would refuse a start without a ticket
 		}
-		a.tickets[t.Worker] = stepTicket{t.Text, a.asked[t.Worker], until}
+		a.tickets[t.Worker] = stepTicket{t.Text, a.asked[t.Worker], now, until}
 		delete(a.refused, t.Worker)
 	}
 }
 
+// backOff delays the next question about a step after one that was of no use, longer
+// each time, so that other steps get their turn.
+func (a *stepAdvice) backOff(now time.Time) {
+	a.fruitless++
+	a.retryAt = now.Add(turns.Backoff(a.fruitless, maxAdviceRetry))
+}
+
 // hasTicket reports whether the worker may run tasks of the step: it has a valid
 // ticket, or the queue needs no advice.
 func (p *Planner) hasTicket(now time.Time, w *waitingStep, h *hosts.Host) bool {
@@ -244,12 +250,32 @@
 	return ""
 }
 
-// invalidateAdvice ends the validity of the tickets of the task's step, one of
-// which a worker has refused.
-func (p *Planner) invalidateAdvice(r sched.TaskRef) {
+// ticketTaken notes that a worker has accepted the ticket of a task's step.
+func (p *Planner) ticketTaken(r sched.TaskRef) {
 	if a := p.advice[stepRefOf(r)]; a != nil {
-		clear(a.tickets)
+		a.fruitless = 0
+	}
+}
+
+// ticketRefused ends the validity of the ticket with which a run was ordered, and of those
+// of its step that are no newer: the worker may have refused it because of its age. Later
+// refusals of the same tickets have no effect.
+func (p *Planner) ticketRefused(now time.Time, s *hosts.Slot, h *hosts.Host) {
+	a := p.advice[stepRefOf(s.Task)]
+	if a == nil {
+		return
+	}
+	refused, known := a.tickets[h.ID]
+	if !known || refused.receivedAt.After(s.OrderedAt) || !now.Before(refused.validUntil) {
+		return
+	}
+	for id, t := range a.tickets {
+		if !t.receivedAt.After(refused.receivedAt) {
+			t.validUntil = time.Time{}
+			a.tickets[id] = t
+		}
 	}
+	a.backOff(now)
 }
 
 // dropUnusedAdvice drops advice that wasn't used for adviceRetention.
--- a/pkg/cell/advice_trouble_test.go
+++ b/pkg/cell/advice_trouble_test.go
@@ -142,3 +142,38 @@
 	starts := r.run(time.Second) // with a new ticket
 	i.Equal(len(starts), 1)
 }
+
+// Guards against a flood of questions where a worker refuses every ticket, and against a
+// worker that is given up for it.
+func TestAWorkerThatRefusesItsTicketsIsAskedAboutSeldom(t *testing.T) {
+	i := is.New(t)
+	s := &adviceService{settings: checkAdvice, refusedBy: "w1"}
+	l := newAdviceLoad(t, 1, s)
+	l.submitAdvised(check(0))
+	l.runFor(20*time.Second, nothing)
+	i.True(l.refusedStarts > 0)
+	i.True(s.handled <= 14) // one in 0.3 s and the back-off, which is 2 s in the end
+	s.refusedBy = ""
+	l.runFor(4*time.Second, nothing)
+	i.Equal(len(l.unfinished()), 0)
+}
+
+// Guards against a newer ticket that is given up since another worker has refused an older
+// one of the same step.
+func TestARefusedTicketEndsNoNewerOnes(t *testing.T) {
+	i := is.New(t)
+	r := newAdvisedRig(t, 1, "w1", "w2")
+	s := withTasks(step(), 2)
+	s.PerWorker = 1
+	r.submitAdvised(s)
+	first := r.run(200 * time.Millisecond)
+	i.Equal(len(first), 1)
+	r.planner.Listed(r.now, worker(2))
+	second := r.run(time.Second)
+	i.Equal(len(second), 1)
+	r.refuse(first[0], sched.RefusedTicket)
+	r.refuse(second[0], sched.RefusedNoCapacity)
+	i.Equal(len(r.run(time.Second)), 2)
+	i.Equal(r.askedAbout("w1"), 2)
+	i.Equal(r.askedAbout("w2"), 1)
+}
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -296,6 +296,7 @@
 		if s.Phase == hosts.Ordered {
 			s.Clock = r.Answer.Clock
 			p.runStarted(now, s)
+			p.ticketTaken(s.Task)
 			if s.Crowded {
 				p.setPaces(now, h) // the next report may be too late for the serving tasks
 			}
@@ -341,7 +342,7 @@
 		p.workerReplaced(now, h)
 		return
 	case sched.RefusedTicket:
-		p.invalidateAdvice(s.Task)
+		p.ticketRefused(now, s, h)
 	case sched.RefusedUnhealthy:
 		p.exchangeFailed(now, h, nil)
 	default:
