Ask about as many workers as leave time to use their tickets

Seen by reading and by the tests only.

Change: a question takes half of the validity at most, with one worker as the least. The margin is a quarter of the validity at most. The platform doesn't tell from when the validity counts: it is counted from the call, as before, unless no ticket could ever be used then; such tickets are tried from the answer on, and at worst a worker refuses the start. An answer without a validity has that of the queue.

Tests: TestACallLeavesTimeToUseItsTickets (tickets from the arrival of the call) and TestTicketsThatAreShorterThanACallAreUsed failed before, in all three rows.

--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -14,11 +14,8 @@
 )
 
 const (
-	// maxAdviceWorkers bounds the workers in one question to the advisor, whose
-	// answer takes longer with each of them.
-	maxAdviceWorkers = 30
 	// ticketMargin is the time before the end of a ticket from which on the
-	// ticket isn't used.
+	// ticket isn't used, a quarter of its validity at most.
 	ticketMargin = 300 * time.Millisecond
 	// adviceRetry is the delay of the next question if there was no worker to ask about.
 	adviceRetry = 200 * time.Millisecond
@@ -51,7 +48,7 @@
 }
 
 // stepTicket permits tasks of a step on one incarnation of a worker until validUntil, which
-// is the end of the ticket less ticketMargin.
+// is the end of the ticket less a margin.
 type stepTicket struct {
 	text        string
 	incarnation int64
@@ -87,12 +84,12 @@
 // AdviceResult is the result of an AdviceCall.
 type AdviceResult struct {
 	Call AdviceCall
-	// Sent and Received are when the call began and ended. The platform doesn't tell whether
-	// Validity counts from the call or from the answer; the planner counts it from the call.
+	// Sent and Received are when the call began and ended.
 	Sent, Received time.Time
 	Tickets        []sched.Ticket
-	Validity       time.Duration
-	Err            error
+	// Validity is how long the tickets are valid, 0 if the answer doesn't tell.
+	Validity time.Duration
+	Err      error
 }
 
 // waitingStepRef returns the reference of a waiting step.
@@ -126,15 +123,10 @@
 		a.retryAt = now.Add(adviceRetry)
 		return false
 	}
-	p.ask(now, w, a, others[:min(len(others), maxAdviceWorkers)])
+	p.ask(now, w, a, others[:min(len(others), askLimit(w.job.Queue.Advice))])
 	return false
 }
 
-// adviceTime returns how long the advisor takes for a call about n workers.
-func adviceTime(s *sched.AdviceSettings, n int) time.Duration {
-	return s.Decision + time.Duration(n)*s.PerWorker
-}
-
 // ask calls the advisor about the workers for a step.
 func (p *Planner) ask(now time.Time, w *waitingStep, a *stepAdvice, workers []*hosts.Host) {
 	c := AdviceCall{Step: waitingStepRef(w)}
@@ -203,7 +195,7 @@
 		a.backOff(now)
 		return
 	}
-	until := r.Sent.Add(r.Validity - ticketMargin)
+	until := p.usableUntil(r)
 	if !now.Before(until) {
 		p.stats.LateTickets += int64(len(r.Tickets))
 	}
@@ -218,6 +210,22 @@
 	}
 }
 
+// usableUntil returns the time until which the tickets of an answer are used. The platform
+// doesn't tell whether their validity counts from the call, from the begin of its handling or
+// from the answer, so that it is counted from the call. A ticket that could never be used then
+// is counted from the answer: at worst, the worker refuses the start.
+func (p *Planner) usableUntil(r AdviceResult) time.Time {
+	validity := r.Validity
+	if j := p.jobs[r.Call.Step.Job]; validity == 0 && j != nil && j.Queue.Advice != nil {
+		validity = j.Queue.Advice.Validity
+	}
+	usable := validity - min(ticketMargin, validity/4)
+	if r.Call.Expected >= usable {
+		return r.Received.Add(usable)
+	}
+	return r.Sent.Add(usable)
+}
+
 // backOff delays the next question about a step after one that was of no use, longer
 // each time, so that other steps get their turn.
 func (a *stepAdvice) backOff(now time.Time) {
--- a/pkg/cell/advice_trouble_test.go
+++ b/pkg/cell/advice_trouble_test.go
@@ -177,3 +177,36 @@
 	i.Equal(r.askedAbout("w1"), 2)
 	i.Equal(r.askedAbout("w2"), 1)
 }
+
+// Guards against a queue that never gets a usable ticket, since a call takes longer than its
+// tickets are valid. It works where they count from the answer.
+func TestTicketsThatAreShorterThanACallAreUsed(t *testing.T) {
+	rows := []struct {
+		name string
+		s    sched.AdviceSettings
+	}{
+		{"long decision", sched.AdviceSettings{Decision: 4 * time.Second, Validity: 3 * time.Second}},
+		{"hardly valid", sched.AdviceSettings{Decision: 100 * time.Millisecond, Validity: 250 * time.Millisecond}},
+		{"long for each worker", sched.AdviceSettings{Decision: 300 * time.Millisecond, PerWorker: 400 * time.Millisecond, Validity: 3 * time.Second}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			i := is.New(t)
+			l := newAdviceLoad(t, 30, &adviceService{settings: row.s})
+			l.submitAdvised(check(0))
+			l.runFor(14*time.Second, nothing)
+			i.Equal(len(l.unfinished()), 0)
+		})
+	}
+}
+
+// Guards against a question about so many workers that its tickets have ended on arrival.
+func TestACallLeavesTimeToUseItsTickets(t *testing.T) {
+	i := is.New(t)
+	s := sched.AdviceSettings{Decision: 300 * time.Millisecond, PerWorker: 200 * time.Millisecond, Validity: 3 * time.Second}
+	l := newAdviceLoad(t, 30, &adviceService{settings: s, fromArrival: true})
+	l.submitAdvised(check(0))
+	l.runFor(5*time.Second, nothing)
+	i.Equal(len(l.unfinished()), 0)
+	i.Equal(l.refusedStarts, 0)
+}
