Get the tickets of a gang with one question

Seen by reading and by the test only.

Change: a ticket that has ended still tells that the advisor permits its worker, which doesn't change during the worker's life. Questions first find enough permitted workers; one more then gets all tickets that are missing or end before its answer, for up to 100 workers. Other steps ask only about as many permitted workers as their tasks need, where there are enough. A gang for which the workers have no room asks once, as before.

--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -38,7 +38,8 @@
 	// questions in a row that had no answer, or whose tickets a worker has refused.
 	retryAt   time.Time
 	fruitless int
-	// tickets holds the ticket of each worker that may run the step.
+	// tickets holds the newest ticket of each worker that may run the step. One that has
+	// ended tells that the advisor will permit the worker again.
 	tickets map[sched.InstanceID]stepTicket
 	// refused holds the incarnations of the workers that got no ticket. The advisor
 	// doesn't change such an answer.
@@ -58,15 +59,19 @@
 
 // valid reports whether the worker has a ticket that is valid.
 func (a *stepAdvice) valid(now time.Time, h *hosts.Host) bool {
+	return a.permits(h) && now.Before(a.tickets[h.ID].validUntil)
+}
+
+// permits reports whether the worker has had a ticket since it started.
+func (a *stepAdvice) permits(h *hosts.Host) bool {
 	t, known := a.tickets[h.ID]
-	return known && t.incarnation == h.NewestIncarnation() && now.Before(t.validUntil)
+	return known && t.incarnation == h.NewestIncarnation()
 }
 
-// mayAsk reports whether a question about the worker may get a ticket that it doesn't
-// have.
-func (a *stepAdvice) mayAsk(now time.Time, h *hosts.Host) bool {
+// refuses reports whether the worker has got no ticket since it started.
+func (a *stepAdvice) refuses(h *hosts.Host) bool {
 	incarnation, refused := a.refused[h.ID]
-	return !a.valid(now, h) && (!refused || incarnation != h.NewestIncarnation())
+	return refused && incarnation == h.NewestIncarnation()
 }
 
 // AdviceCall asks the advisor which of the workers may run the step. Its result
@@ -117,13 +122,12 @@
 	if a.inFlight || now.Before(a.retryAt) || !p.options.AdviceLine.Free(now, p) {
 		return false
 	}
-	others := p.adviceCandidates(now, w, a)
-	// More tickets don't help while all of these workers have too little room for a gang.
-	if len(others) == 0 || len(ticketed) > 0 && p.pack(w, slices.Concat(ticketed, others)) == nil {
+	workers := p.workersToAsk(now, w, a, ticketed)
+	if len(workers) == 0 {
 		a.retryAt = now.Add(adviceRetry)
 		return false
 	}
-	p.ask(now, w, a, others[:min(len(others), askLimit(w.job.Queue.Advice))])
+	p.ask(now, w, a, workers)
 	return false
 }
 
@@ -155,21 +159,6 @@
 	return out
 }
 
-// adviceCandidates returns the workers with room for a task of the step that have no
-// ticket and weren't refused one, most free processors first.
-func (p *Planner) adviceCandidates(now time.Time, w *waitingStep, a *stepAdvice) []*hosts.Host {
-	var out []*hosts.Host
-	for _, h := range p.workers {
-		if a.mayAsk(now, h) && p.hasRoomFor(now, w, h) {
-			out = append(out, h)
-		}
-	}
-	slices.SortFunc(out, func(a, b *hosts.Host) int {
-		return cmp.Or(cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
-	})
-	return out
-}
-
 // hasRoomFor reports whether the worker is usable for a waiting step and has room for a
 // task of it.
 func (p *Planner) hasRoomFor(now time.Time, w *waitingStep, h *hosts.Host) bool {
@@ -202,10 +191,11 @@
 	log.Info("adviceAnswered", zap.Int("tickets", len(r.Tickets)), zap.Duration("left", until.Sub(now)))
 	maps.Copy(a.refused, a.asked)
 	for _, t := range r.Tickets {
-		if t.Text == "" {
+		incarnation, asked := a.asked[t.Worker]
+		if t.Text == "" || !asked {
 			continue // a worker would refuse a start without a ticket
 		}
-		a.tickets[t.Worker] = stepTicket{t.Text, a.asked[t.Worker], now, until}
+		a.tickets[t.Worker] = stepTicket{t.Text, incarnation, now, until}
 		delete(a.refused, t.Worker)
 	}
 }
@@ -294,3 +284,19 @@
 		}
 	}
 }
+
+// compareFree orders workers by their free processors, most first, and by their id.
+func compareFree(a, b *hosts.Host) int {
+	return cmp.Or(cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
+}
+
+// compact returns the workers without repetitions, in the same order.
+func compact(workers []*hosts.Host) []*hosts.Host {
+	var out []*hosts.Host
+	for _, h := range workers {
+		if !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/pkg/cell/advice_load_test.go
+++ b/pkg/cell/advice_load_test.go
@@ -47,6 +47,8 @@
 	// most is the largest number of calls that waited or were handled at the same time,
 	// handled the number of calls handled.
 	most, handled int
+	// named holds the number of workers in each call.
+	named []int
 }
 
 // advisedCall is a call on its way to the service, at it, or on its way back.
@@ -70,7 +72,7 @@
 		x.err, x.answers = errRefused, now.Add(2*adviceDelay)
 		return x
 	}
-	s.waiting = append(s.waiting, x)
+	s.waiting, s.named = append(s.waiting, x), append(s.named, len(c.Workers))
 	s.most = max(s.most, len(s.waiting))
 	return x
 }
--- a/pkg/cell/advice_trouble_test.go
+++ b/pkg/cell/advice_trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -210,3 +211,34 @@
 	i.Equal(len(l.unfinished()), 0)
 	i.Equal(l.refusedStarts, 0)
 }
+
+// Guards against a gang whose tickets end one after the other, since the permitted workers
+// are found by several questions that together take longer than a ticket is valid.
+func TestAGangGetsAllTicketsAtTheSameTime(t *testing.T) {
+	i := is.New(t)
+	long := sched.AdviceSettings{Decision: 300 * time.Millisecond, PerWorker: 30 * time.Millisecond, Validity: 3 * time.Second}
+	l := newAdviceLoad(t, 70, &adviceService{settings: long, fromArrival: true})
+	j := check(0)
+	j.Steps[0] = gangOf(66)
+	l.submitAdvised(j)
+	l.runFor(10*time.Second, nothing)
+	i.Equal(len(l.unfinished()), 0)
+	i.Equal(l.refusedStarts, 0)
+}
+
+// Guards against a step that outlives its tickets and asks about all workers again, though
+// the permitted ones are known.
+func TestAStepAsksAgainOnlyAboutPermittedWorkers(t *testing.T) {
+	i := is.New(t)
+	short := sched.AdviceSettings{Decision: 100 * time.Millisecond, PerWorker: 5 * time.Millisecond, Validity: 800 * time.Millisecond}
+	s := &adviceService{settings: short, permitted: []sched.InstanceID{"w1", "w2"}}
+	l := newAdviceLoad(t, 30, s)
+	j := check(0)
+	j.Steps[0].Tasks = 160 // in five waves of 400 ms on two workers of 16 processors
+	l.submitAdvised(j)
+	l.runFor(5*time.Second, nothing)
+	i.Equal(len(l.unfinished()), 0)
+	i.True(len(s.named) > 1)
+	i.Equal(s.named[0], 30)
+	i.True(slices.Max(s.named[1:]) <= 2)
+}
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -95,7 +95,7 @@
 		}
 	}
 	slices.SortFunc(usable, func(a, b *hosts.Host) int {
-		return cmp.Or(cmp.Compare(risky[a], risky[b]), cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(risky[a], risky[b]), compareFree(a, b))
 	})
 	if step.SameRack || step.DataRack != "" {
 		racks := map[string][]*hosts.Host{}
