Refuse jobs that the advice service can't bear

Under a lasting load above what the service bears, fresh jobs go before late ones, so that those beyond it wait until the load has ended.

Change: a job is accepted if the calls before it leave it in time for its objective, or take a second at most, and is refused otherwise, at once (429), with the time to come again. Jobs of a lower priority don't count, lasting and scheduled ones may wait for 8 s. The objective of a job counts one call about 30 workers for each step now, as the users do; it decides the class of waiting steps too.

--- a/pkg/cell/call.go
+++ b/pkg/cell/call.go
@@ -30,9 +30,14 @@
 		p.refuseStep(now, t, s, step)
 		return
 	}
+	if v, wait, limit := p.adviceVerdict(now, s); v.Code != sched.CodeAccepted {
+		p.refuseForAdvice(now, t, s, v, wait, limit)
+		return
+	}
 	j := &job{Job: jobs.New(s.WithSubmittedAt(now)), unrecorded: true, stepLoads: map[int]*share.Load{}}
 	j.pendingReplies = []Reply{{t, acceptedVerdict}}
 	p.jobs[s.ID] = j
+	p.noteAdvised(j)
 	p.stats.Accepted++
 	if s.Schedule.Times == 0 {
 		p.pendingByQueue[s.Queue.Name]++
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -206,7 +206,7 @@
 	if step.Lasting {
 		return c
 	}
-	chain := p.runTimes.Chain(&j.Job.Job)
+	chain := p.chainOf(&j.Job.Job)
 	c.Class = order.Outlook{
 		Due: c.Due, Chain: slices.Max(chain), Left: chain[s], Stretch: j.Queue.Stretch, Goal: j.Queue.Goal,
 	}.Class(now)
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -125,6 +125,8 @@
 	countedGangRuns map[sched.StepRef]int
 	// advice holds the advisor's answers for steps whose queue needs them.
 	advice map[sched.StepRef]*stepAdvice
+	// advisedJobs are the jobs in queues that need advice. Some may have ended.
+	advisedJobs map[sched.JobID]*job
 	// service holds the rules of services by name. Nothing reads it.
 	service map[string]sched.ServiceRules
 	// learnedRecordedAt is when the LearnedKey record was last added to a batch.
@@ -223,7 +225,7 @@
 		scheduledJobs: map[sched.JobID]*job{}, pendingByQueue: map[sched.QueueName]int{},
 		interference: share.NewModel(), runTimes: order.NewRunTimes(),
 		judge: suspct.NewWithTiming(suspicionPauses), countedGangRuns: map[sched.StepRef]int{},
-		advice: map[sched.StepRef]*stepAdvice{}, noRoomElsewhere: map[string]time.Time{}, service: map[string]sched.ServiceRules{},
+		advice: map[sched.StepRef]*stepAdvice{}, advisedJobs: map[sched.JobID]*job{}, noRoomElsewhere: map[string]time.Time{}, service: map[string]sched.ServiceRules{},
 		provenAt: now, inheritedLeaseEnd: now.Add(o.LeaseLimit + leaseClockMargin),
 	}
 	if o.AdviceLine == nil {
@@ -260,6 +262,7 @@
 func (p *Planner) restore(r *jobs.Job) {
 	j := &job{Job: r, durableState: r.State, started: r.State != sched.JobPending, stepLoads: map[int]*share.Load{}}
 	p.jobs[r.ID] = j
+	p.noteAdvised(j)
 	if r.State.Final() {
 		p.finalJobs = append(p.finalJobs, j)
 	}
--- a/pkg/order/claim.go
+++ b/pkg/order/claim.go
@@ -39,14 +39,23 @@
 	Goal    time.Duration
 }
 
+// objective returns the time after Due by which the job should end.
+func (o Outlook) objective() time.Duration {
+	return time.Duration(o.Stretch*float64(o.Chain)) + o.Goal
+}
+
+// Spare returns how long after Due the waiting tasks may be placed for the job to meet its
+// objective. It is negative if they can't.
+func (o Outlook) Spare() time.Duration {
+	return o.objective() - time.Duration(runTimeMargin*float64(o.Left))
+}
+
 // Class returns the class of the job if its waiting tasks are placed now.
 func (o Outlook) Class(now time.Time) Class {
-	objective := time.Duration(o.Stretch*float64(o.Chain)) + o.Goal
-	ends := now.Add(time.Duration(runTimeMargin * float64(o.Left)))
-	switch {
-	case !ends.After(o.Due.Add(objective)):
+	switch waited := now.Sub(o.Due); {
+	case waited <= o.Spare():
 		return InTime
-	case !ends.After(o.Due.Add(worthlessFactor * objective)):
+	case waited <= o.Spare()+(worthlessFactor-1)*o.objective():
 		return Late
 	}
 	return Worthless
--- a/pkg/order/times.go
+++ b/pkg/order/times.go
@@ -90,11 +90,12 @@
 }
 
 // Chain returns, for each step of a job, the expected time from the start of
-// its tasks to the end of the job along the longest path.
-func (t *RunTimes) Chain(j *sched.Job) []time.Duration {
+// its tasks to the end of the job along the longest path. Each step takes the given time
+// besides its tasks.
+func (t *RunTimes) Chain(j *sched.Job, besides time.Duration) []time.Duration {
 	tail := make([]time.Duration, len(j.Steps))
 	for k := len(j.Steps) - 1; k >= 0; k-- {
-		tail[k] += t.Expect(j.Queue.Name, &j.Steps[k])
+		tail[k] += besides + t.Expect(j.Queue.Name, &j.Steps[k])
 		for _, a := range j.Steps[k].After {
 			tail[a] = max(tail[a], tail[k])
 		}
