--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -152,7 +152,6 @@
 	err = l.appendLoop(c)
 	l.Log.Info("termEnded", zap.Int64("term", int64(l.termNumber)), zap.Error(err))
 	close(l.stopped)
-	l.Options.AdviceLine.Leave(l.planner)
 	l.effects.Lock()
 	l.finished.Store(true)
 	l.effects.Unlock()
@@ -166,6 +165,7 @@
 		l.Log.Warn("plannerRunsOn", zap.Int64("term", int64(l.termNumber)))
 	}
 	l.system.Shutdown()
+	l.Options.AdviceLine.Leave(l.planner) // after its last call has begun
 	return err
 }
 
--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -289,14 +288,3 @@
 func compareFree(a, b *hosts.Host) int {
 	return cmp.Or(cmp.Compare(b.Free().Processors, a.Free().Processors), cmp.Compare(a.ID, b.ID))
 }
-
-// compact returns the workers without repetitions, in the same order.
-func compact(workers []*hosts.Host) []*hosts.Host {
-	var out []*hosts.Host
-	for _, h := range workers {
-		if !slices.Contains(out, h) {
-			out = append(out, h)
-		}
-	}
-	return out
-}
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -132,23 +132,33 @@
 // pack fills the workers in their order with the tasks of a waiting step. It returns a
 // worker for each task, nil if they don't all fit.
 func (p *Planner) pack(w *waitingStep, usable []*hosts.Host) []*hosts.Host {
-	step := &w.job.Steps[w.step]
-	need := step.Counted()
+	tasks := w.job.Steps[w.step].Tasks
 	var out []*hosts.Host
 	for _, h := range usable {
-		free, n := p.roomFor(w, h), 0
-		for len(out) < step.Tasks && need.Fits(free) && (step.PerWorker == 0 || n < step.PerWorker) {
-			free = free.Minus(need)
-			out = append(out, h)
-			n++
-		}
+		out = append(out, slices.Repeat([]*hosts.Host{h}, p.fitting(w, h, tasks-len(out)))...)
 	}
-	if len(out) < step.Tasks {
+	if len(out) < tasks {
 		return nil
 	}
 	return out
 }
 
+// fitting returns how many tasks of a waiting step fit on a worker, n at most.
+func (p *Planner) fitting(w *waitingStep, h *hosts.Host, n int) int {
+	step := &w.job.Steps[w.step]
+	if step.PerWorker > 0 {
+		n = min(n, step.PerWorker)
+	}
+	need, free := step.Counted(), p.roomFor(w, h)
+	for k := range n {
+		if !need.Fits(free) {
+			return k
+		}
+		free = free.Minus(need)
+	}
+	return n
+}
+
 // stopGang stops the members of a gang under run number n, since one of them has
 // ended or is lost.
 func (p *Planner) stopGang(now time.Time, j *job, r sched.TaskRef, n sched.RunNumber) {
--- a/pkg/cell/question.go
+++ b/pkg/cell/question.go
@@ -15,10 +15,9 @@
 	maxAskedWorkers = 30
 	// maxCallWorkers is the number of workers that one call may name.
 	maxCallWorkers = 100
-	// maxCallShare is the part of the validity of a ticket, as 1 divided by it, that a
-	// question of several workers may take. What is left of the ticket after that is for
-	// its use.
-	maxCallShare = 2
+	// minValidityRatio is how many times as long as a question about several workers its
+	// tickets are valid, at least. What is left of them after the answer is for their use.
+	minValidityRatio = 2
 )
 
 // adviceTime returns how long the advisor takes for a call about n workers.
@@ -32,7 +31,7 @@
 	if s.PerWorker <= 0 || s.Validity <= 0 {
 		return maxAskedWorkers
 	}
-	return min(maxAskedWorkers, max(1, int((s.Validity/maxCallShare-s.Decision)/s.PerWorker)))
+	return min(maxAskedWorkers, max(1, int((s.Validity/minValidityRatio-s.Decision)/s.PerWorker)))
 }
 
 // workersToAsk returns the workers for the next question about a step, none if no answer
@@ -68,31 +67,20 @@
 func (p *Planner) workersFor(w *waitingStep, workers []*hosts.Host) ([]*hosts.Host, bool) {
 	left := len(w.tasks)
 	for n, h := range workers {
-		if left -= p.fitting(w, h); left <= 0 {
+		if left -= p.fitting(w, h, left); left <= 0 {
 			return workers[:n+1], true
 		}
 	}
 	return workers, false
 }
 
-// fitting returns how many of the waiting tasks of a step fit on a worker.
-func (p *Planner) fitting(w *waitingStep, h *hosts.Host) int {
-	step := &w.job.Steps[w.step]
-	need, free, n := step.Counted(), p.roomFor(w, h), 0
-	for n < len(w.tasks) && need.Fits(free) && (step.PerWorker == 0 || n < step.PerWorker) {
-		free = free.Minus(need)
-		n++
-	}
-	return n
-}
-
 // gangToAsk is workersToAsk for a gang. Its members need tickets at the same time. Once
 // workers for all of them are known to be permitted, one question gets the tickets that are
 // missing or end before it is answered.
 func (p *Planner) gangToAsk(
 	now time.Time, w *waitingStep, a *stepAdvice, ticketed, known, others []*hosts.Host,
 ) []*hosts.Host {
-	if members := compact(p.pack(w, slices.Concat(ticketed, known))); len(members) > 0 {
+	if members := slices.Compact(p.pack(w, slices.Concat(ticketed, known))); len(members) > 0 {
 		answered := now.Add(p.options.AdviceLine.Wait(now) + adviceTime(w.job.Queue.Advice, len(members)) + p.options.AdviceLine.Extra())
 		members = slices.DeleteFunc(members, func(h *hosts.Host) bool { return a.valid(answered, h) })
 		return members[:min(len(members), maxCallWorkers)]
--- a/pkg/turns/line.go
+++ b/pkg/turns/line.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// lead is how long before the server is expected to be free the next call is sent. It
+	// sendAhead is how long before the server is expected to be free the next call is sent. It
 	// covers a round trip between regions and the time until a caller takes its turn.
-	lead = 100 * time.Millisecond
-	// maxCalls bounds the calls in flight where the server takes much less than lead for
+	sendAhead = 100 * time.Millisecond
+	// maxCalls bounds the calls in flight where the server takes much less than sendAhead for
 	// one.
 	maxCalls = 4
 	// minSlack is how much longer than expected a call may take before it is given up. The
@@ -44,9 +44,9 @@
 	// retryAt.
 	failures int
 	retryAt  time.Time
-	callers  map[any]*claim
-	// longer is added to minSlack.
-	longer time.Duration
+	// moreSlack is what calls get in addition to minSlack, since calls were given up.
+	moreSlack time.Duration
+	callers   map[any]*claim
 }
 
 // call is a call in flight. It is expected to take the given time once the server handles
@@ -99,13 +99,13 @@
 // free reports whether the next call may be sent. The lock is held.
 func (l *Line) free(now time.Time) bool {
 	// The end of a call that is given up may never be told, if its caller has ended.
-	l.calls = slices.DeleteFunc(l.calls, func(c call) bool { return now.Sub(c.until) > lead })
+	l.calls = slices.DeleteFunc(l.calls, func(c call) bool { return now.Sub(c.until) > sendAhead })
 	n := len(l.calls)
 	if n == 0 || now.Before(l.retryAt) {
 		return !now.Before(l.retryAt)
 	}
 	oldest, newest := l.calls[0], l.calls[n-1]
-	return n < maxCalls && newest.ends.Sub(now) <= lead && now.Sub(oldest.ends) < lead
+	return n < maxCalls && newest.ends.Sub(now) <= sendAhead && now.Sub(oldest.ends) < sendAhead
 }
 
 // Begin adds a call that the caller sends now, and that takes the server the given time. It
@@ -120,7 +120,7 @@
 	}
 	ends = ends.Add(takes + l.extra)
 	l.newest++
-	slack := minSlack + l.longer
+	slack := minSlack + l.moreSlack
 	l.calls = append(l.calls, call{l.newest, caller, now, takes, ends, ends.Add(slack), slack})
 	l.claimOf(caller).servedAt = now
 	return l.newest, ends.Sub(now), ends.Sub(now) + slack
@@ -140,8 +140,8 @@
 	if !answered {
 		if now.Before(c.until) {
 			l.failures++
-		} else if c.slack == minSlack+l.longer {
-			l.longer = min(maxSlack, 2*c.slack) - minSlack
+		} else if c.slack == minSlack+l.moreSlack {
+			l.moreSlack = min(maxSlack, 2*c.slack) - minSlack
 		}
 		l.retryAt = now.Add(Backoff(l.failures, maxRetryDelay))
 		return
@@ -152,7 +152,7 @@
 	}
 	more := now.Sub(began) - c.takes
 	l.extra = max(0, more, (l.extra+more)/2)
-	l.failures, l.retryAt, l.answeredAt, l.longer = 0, time.Time{}, now, 0
+	l.failures, l.retryAt, l.answeredAt, l.moreSlack = 0, time.Time{}, now, 0
 	for k, ends := 0, now; k < len(l.calls); k++ {
 		ends = ends.Add(l.calls[k].takes + l.extra)
 		l.calls[k].ends = ends
