--- a/internal/emu/site/advice_test.go
+++ b/internal/emu/site/advice_test.go
@@ -40,7 +40,8 @@
 	}
 }
 
-// Guards against jobs that wait for advice beside free workers though the service bears them.
+// Guards against findings of the audit and jobs that don't end where a queue needs advice,
+// without faults.
 func TestSiteWithAdviceOnACalmDay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newTrial(1)
--- a/pkg/cell/advice_load_test.go
+++ b/pkg/cell/advice_load_test.go
@@ -152,11 +152,7 @@
 		submitted: map[sched.JobID]time.Time{}, firstRun: map[sched.JobID]time.Time{}, ended: map[sched.JobID]time.Time{},
 		requests: map[cell.Ticket]sched.Job{}, refusals: map[sched.JobID]int{}, accepted: map[sched.JobID]bool{},
 	}
-	var all []sched.Worker
-	for k := range workers {
-		all = append(all, worker(k+1))
-	}
-	l.list(all...)
+	l.listFirst(workers)
 	return l
 }
 
--- a/pkg/cell/advice_test.go
+++ b/pkg/cell/advice_test.go
@@ -25,11 +25,7 @@
 // newAdvisedRig returns a rig with n workers.
 func newAdvisedRig(t *testing.T, n int, permitted ...sched.InstanceID) *advisedRig {
 	r := &advisedRig{newRig(t), permitted, nil}
-	var all []sched.Worker
-	for k := range n {
-		all = append(all, worker(k+1))
-	}
-	r.list(all...)
+	r.listFirst(n)
 	return r
 }
 
--- a/pkg/cell/rig_test.go
+++ b/pkg/cell/rig_test.go
@@ -145,6 +145,16 @@
 	}
 }
 
+// listFirst adds workers 1 to n and answers their first exchanges.
+func (r *rig) listFirst(n int) {
+	r.t.Helper()
+	var all []sched.Worker
+	for k := range n {
+		all = append(all, worker(k+1))
+	}
+	r.list(all...)
+}
+
 func (r *rig) submit(j sched.Job) cell.Ticket {
 	r.ticket++
 	r.planner.Submit(r.now, r.ticket, j)
