Don't abort reads of the store whose data is still arriving

Cause: after a restart of all instances each one reads the operator's records. With a configuration of 400 KB the 20 instances of the far region need over a second of the 60 Mbit/s between the regions, but the first attempt of a read was aborted after 300 ms and the next after 700 ms, and each attempt transferred the same data again. Orders to the region's workers and their answers timed out, leases lapsed, and ended tasks were started again (TWICE, LOST). Change: pkg/stall bounds a call by its progress: the wait for the first data, for further data, and the whole transfer. Reads of the store use it.

--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -6,12 +6,20 @@
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+	"github.com/parsleybarrow/parsleybarrow/pkg/stall"
 )
 
 const (
-	// callTimeout bounds a read, in addition to the time for which the store may
-	// wait for new records.
+	// callTimeout bounds the wait for the first data of a read, in addition to the
+	// time for which the store may wait for new records.
 	callTimeout = 1200 * time.Millisecond
+	// idleTimeout bounds the wait for further data of a read. It is several round
+	// trips between regions over a full link.
+	idleTimeout = 900 * time.Millisecond
+	// transferTimeout bounds the transfer of the data of one read. After a restart of
+	// all instances those of the other region read the same records over one link at
+	// the same time: 20 reads of 400 KB take a second of 60 Mbit/s.
+	transferTimeout = 10 * time.Second
 	// retryDelay is the time between a failed read and the next one.
 	retryDelay = 150 * time.Millisecond
 )
@@ -71,7 +79,7 @@
 	if !f.loaded {
 		return f.ReadWhole(c)
 	}
-	x, cancel := context.WithTimeout(c, f.Wait+callTimeout)
+	x, cancel := readLimits(f.Wait + callTimeout).Context(c)
 	defer cancel()
 	b, err := f.Store.Read(x, f.Partition, f.offset, f.Wait)
 	var trimmed *sched.TrimmedError
@@ -126,18 +134,25 @@
 	}
 }
 
-// attemptTimeouts bounds the attempts of a read. A store that has just recovered may
-// never answer earlier calls, so the first attempt is short. A slow store needs
-// the last timeout.
+// readLimits returns the limits of a read whose first data must arrive within the given
+// time.
+func readLimits(first time.Duration) stall.Limits {
+	return stall.Limits{First: first, Idle: idleTimeout, Total: first + transferTimeout}
+}
+
+// attemptTimeouts bounds the wait for the first data of the attempts of a read. A store
+// that has just recovered may never answer earlier calls, so the first attempt is short.
+// A slow store needs the last timeout.
 var attemptTimeouts = []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
 
 // ReadWithRetry makes a read and repeats it, with a longer timeout, after an attempt that
-// timed out. It gives up after the last of attemptTimeouts.
+// timed out. It gives up after the last of attemptTimeouts. A read that makes progress isn't
+// aborted, since the next one would transfer the same data again.
 func ReadWithRetry[T any](c context.Context, read func(context.Context) (T, error)) (T, error) {
 	var t T
 	var err error
 	for _, d := range attemptTimeouts {
-		x, cancel := context.WithTimeout(c, d)
+		x, cancel := readLimits(d).Context(c)
 		t, err = read(x)
 		timedOut := x.Err() != nil
 		cancel()
