Acknowledge ends only to the incarnation that listed them

Cause: each exchange repeated the number of the newest recorded end. Change: an exchange carries an acknowledgement only while it is new, the worker answers, and no start order to it is without an answer for longer than a round trip. Runs of an unknown incarnation can't have ended otherwise.

--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -95,7 +95,7 @@
 		if h.ExchangeInFlight || h.Address == "" || now.Before(h.NextExchangeAt) {
 			continue
 		}
-		o := sched.LeaseOrder{Token: h.Token(p.options.Term), RecordedEnd: h.DurableEnd}
+		o := sched.LeaseOrder{Token: h.Token(p.options.Term), RecordedEnd: h.Acknowledgement(now)}
 		if h.Failures == 0 && len(h.Slots) > 0 {
 			o.Lease = h.Grant(now, p.options.LeaseLimit)
 		}
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -239,6 +239,28 @@
 // LeaseEnd returns when every lease granted so far has ended by the slowest clock.
 func (h *Host) LeaseEnd() time.Time { return h.leaseEnd }
 
+// unansweredLimit is the age from which on a start order without an answer may have gone to
+// another incarnation than the newest known one. Answers take a round trip between regions.
+const unansweredLimit = 150 * time.Millisecond
+
+// Acknowledgement returns the number of the newest end to acknowledge with an exchange now,
+// 0 if there is none. Numbers of ends begin again with each incarnation, so that an
+// acknowledgement that reaches a later incarnation would make it forget ends that it has
+// never listed. Such ends are of runs whose start orders had no answer. Therefore nothing
+// is acknowledged while there are such runs or the worker doesn't answer, nor is an
+// acknowledgement repeated.
+func (h *Host) Acknowledgement(now time.Time) int64 {
+	if h.DurableEnd <= h.AckedEnd || h.Failures > 0 {
+		return 0
+	}
+	for _, s := range h.Slots {
+		if s.Phase == Unsure || s.Phase == Ordered && now.Sub(s.OrderedAt) >= unansweredLimit {
+			return 0
+		}
+	}
+	return h.DurableEnd
+}
+
 // Answered notes an answer of the worker. The answer of a new life counts only once the
 // runs of the earlier one are settled.
 func (h *Host) Answered(at time.Time) {
