Start nothing in a data centre that is being evacuated

Change: platform decodes evacuate/ZONE. pkg/evac keeps the set by data centre and offset; a read of all records replaces it, and an older read changes nothing. The entry instance publishes the set, and the planner's actor takes it before each message, so that it doesn't wait behind others. The planner places nothing in such a data centre, withdraws placements whose start orders weren't sent, and places nothing before the first read. Start orders are checked again just before they are sent. Starts are held while the newest read is older than evacuation_ms less 1 s. Reads of the operator's records wait for 0.7 s at the store instead of 1.5 s, and after a failure they don't wait. The emulated site plays evacuations, and its observer counts starts after 5 s.

--- a/internal/emu/audit/audit.go
+++ b/internal/emu/audit/audit.go
@@ -40,6 +40,9 @@
 	// Place: a run on a worker of another service or without the label, or more
 	// tasks of a step on one worker than the step allows.
 	Place = "place"
+	// Evacuated: a run that starts in a data centre more than EvacuationTime after its
+	// evacuation was acknowledged, and before that was withdrawn.
+	Evacuated = "evacuated"
 	// Budget: a run after the maximum number of failed attempts. Lasting tasks
 	// and gangs are exempt.
 	Budget = "budget"
@@ -78,6 +81,9 @@
 	// CancelTime is how long after the acknowledgement of a cancel runs of the
 	// job may still start.
 	CancelTime time.Duration
+	// EvacuationTime is how long after the acknowledgement of an evacuation runs may still
+	// start in the data centre.
+	EvacuationTime time.Duration
 	// SettlingTime is how long after the end of a fault tasks may wait although there
 	// is room for them.
 	SettlingTime time.Duration
@@ -102,6 +108,11 @@
 	settledFrom  time.Time
 	// trafficEndedAt is when the last job was submitted, zero before that.
 	trafficEndedAt time.Time
+	// evacuatedAt holds when the evacuations in force were acknowledged, and latestEvacuated
+	// how long after that the latest run has started there.
+	evacuatedAt     map[sched.DataCentre]time.Time
+	latestEvacuated time.Duration
+	startsIn        map[sched.DataCentre]int64
 	// waits holds the tasks that waited at the last call of CheckWaiting although
 	// there was room for them.
 	waits   map[sched.TaskRef]*wait
@@ -220,6 +231,7 @@
 	a.checkSubmitted(at, w, k, truth, payload, resumed)
 	a.checkOrder(at, w, k, truth)
 	a.checkPlace(at, w, k, truth, step)
+	a.checkEvacuated(at, w, k)
 	if !step.Lasting && !step.Gang && t.acknowledgedFailures >= truth.Job.Queue.MaxAttempts {
 		a.report(at, Budget, "%v run %d on %s after %d failures", k.Task, k.Run, w.ID, t.acknowledgedFailures)
 	}
--- a/internal/emu/audit/waiting.go
+++ b/internal/emu/audit/waiting.go
@@ -170,6 +170,9 @@
 func (a *Audit) roomFor(r sched.TaskRef, step *sched.Step, service string, workers []*work.Worker) int {
 	sum := 0
 	for _, w := range workers {
+		if _, evacuated := a.evacuatedAt[w.DataCentre]; evacuated {
+			continue
+		}
 		if w.Service != service || w.Draining || a.SameCell != nil && !a.SameCell(r.Job, w.ID) || step.Label != "" && !slices.Contains(w.Labels, step.Label) {
 			continue
 		}
--- a/internal/emu/site/plan_test.go
+++ b/internal/emu/site/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 		span := time.Duration(300+t.random.IntN(9000)) * time.Millisecond
 		plan = append(plan, t.draw(at, span)...)
 	}
+	plan = append(plan, t.evacuations()...)
 	slices.SortStableFunc(plan, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
@@ -59,6 +61,31 @@
 	return []fault{{at, name, begin, 1}, {min(at+span, faultTime), "end of " + name, end, -1}}
 }
 
+// evacuations draws up to three evacuations, each of one data centre or, rarely, of all. They
+// have a random sequence of their own.
+func (t *trial) evacuations() []fault {
+	random := rand.New(rand.NewPCG(t.seed, 11))
+	var out []fault
+	for range random.IntN(4) {
+		at := time.Duration(random.Int64N(int64(faultTime * 9 / 10)))
+		span := time.Duration(300+random.IntN(15000)) * time.Millisecond
+		first, n := random.IntN(dataCentres), 1
+		if random.IntN(5) == 0 {
+			n = dataCentres
+		}
+		change := func(inForce bool) func(*trial) {
+			return func(t *trial) {
+				for k := range n {
+					t.world.Evacuate(dataCentre(first+k), inForce)
+				}
+			}
+		}
+		name := fmt.Sprint("evacuate ", dataCentre(first), " of ", n)
+		out = append(out, fault{at, name, change(true), 1}, fault{min(at+span, faultTime), "end of " + name, change(false), -1})
+	}
+	return out
+}
+
 // targets returns the instance, or all instances.
 func (t *trial) targets(n int, all bool) []sched.InstanceID {
 	if !all {
--- a/internal/emu/site/site_test.go
+++ b/internal/emu/site/site_test.go
@@ -115,7 +115,7 @@
 	for n := range t.workers {
 		t.world.Workers = append(t.world.Workers, sched.Worker{
 			ID: sched.InstanceID(fmt.Sprint("w", n)), Address: worker(n), Service: service,
-			Labels:   []string{labels[n%len(labels)], racks[n%len(racks)]},
+			Labels: []string{labels[n%len(labels)], racks[n%len(racks)]}, DataCentre: dataCentre(n),
 			Capacity: capacity,
 		})
 	}
@@ -124,6 +124,7 @@
 		Options: cell.Options{
 			LeaseLimit: leaseLimit, StopLimit: 900 * time.Millisecond, StatusKept: 10 * time.Minute,
 			Early: 250 * time.Millisecond, GangLimit: 3 * time.Second, Restore: 100 * time.Millisecond, FarFactor: 1.5,
+			EvacuationLimit: 5 * time.Second,
 		},
 	}
 	return t
@@ -149,6 +150,12 @@
 // worker returns the address of a worker. Its ID may change after a crash.
 func worker(n int) string { return fmt.Sprintf("w%d:1", n) }
 
+// dataCentre returns the data centre of a worker.
+func dataCentre(n int) sched.DataCentre { return sched.DataCentre(fmt.Sprint("dc", n%dataCentres)) }
+
+// dataCentres is the number of data centres with workers.
+const dataCentres = 3
+
 // useAgents has the planner of a cell with more than one worker give its orders
 // through other instances.
 func (t *trial) useAgents() { t.site.AgentsFrom = 2 }
@@ -254,6 +261,9 @@
 			t.world.CutWorkerFrom(instance(n), worker(m), false)
 		}
 	}
+	for n := range dataCentres {
+		t.world.Evacuate(dataCentre(n), false)
+	}
 	for n := range t.workers {
 		t.world.IsolateWorker(worker(n), false)
 		t.world.Worker(worker(n), func(now time.Time, x *work.Worker) {
--- a/internal/emu/world/faults.go
+++ b/internal/emu/world/faults.go
@@ -106,6 +106,18 @@
 	})
 }
 
+// Evacuate writes the operator's record of the evacuation of a data centre, or withdraws it.
+func (w *World) Evacuate(d sched.DataCentre, inForce bool) {
+	var value []byte
+	if inForce {
+		value = []byte("{}")
+	}
+	w.update(func(now time.Time) {
+		w.write(operatorPartition, evacuatePrefix+string(d), value)
+		w.Audit.SetEvacuated(now, d, inForce)
+	})
+}
+
 // TrimHistory removes the history of the operator's and the workers' records from the
 // store. The newest record of each key stays.
 func (w *World) TrimHistory() {
--- a/internal/emu/world/world.go
+++ b/internal/emu/world/world.go
@@ -87,7 +87,14 @@
 	workerPartition   = sched.Partition{Topic: "workers"}
 )
 
-const catalogKey = "catalog"
+// Keys of the operator's records. The name of a data centre follows the prefix.
+const (
+	catalogKey     = "catalog"
+	evacuatePrefix = "evacuate/"
+)
+
+// evacuationTime is how long after its acknowledgement an evacuation must be in force.
+const evacuationTime = 5 * time.Second
 
 // missedHeartbeats is the number of heartbeat intervals without a heartbeat after
 // which a worker's entry is removed.
@@ -99,7 +106,7 @@
 	w.Jobs = &book.Jobs{Seed: w.Seed}
 	w.Audit = &audit.Audit{
 		Jobs: w.Jobs, Guards: w.Rules.Guards, CancelTime: 3 * time.Second, ContactTime: 4 * time.Second,
-		SettlingTime: w.SettlingTime, SameCell: w.SameCell,
+		EvacuationTime: evacuationTime, SettlingTime: w.SettlingTime, SameCell: w.SameCell,
 	}
 	w.store = &store.Store{Retention: w.Retention, MaxRecordBytes: w.RecordLimit, MaxAppendBytes: w.AppendLimit}
 	w.gangs = &work.Gangs{}
@@ -247,6 +254,11 @@
 
 // DecodeOperator implements sched.Registry.
 func (s *Client) DecodeOperator(r sched.KeyedRecord) (sched.OperatorRecord, error) {
+	if d, found := strings.CutPrefix(r.Key, evacuatePrefix); found {
+		return sched.OperatorRecord{Evacuation: &sched.Evacuation{
+			DataCentre: sched.DataCentre(d), InForce: len(r.Value) > 0, Offset: r.Offset,
+		}}, nil
+	}
 	if r.Key != catalogKey {
 		return sched.OperatorRecord{}, nil
 	}
--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -108,7 +110,7 @@
 	return cell.Options{
 		LeaseLimit: s.Bounds.LeaseLimit, StopLimit: s.Bounds.StopLimit, StatusKept: s.Bounds.StatusKept,
 		Early: s.Bounds.Early, GangLimit: s.Bounds.GangLimit, Restore: s.Bounds.Restore, FarFactor: s.Bounds.FarFactor,
-		AwayNotice: s.Bounds.AwayNotice, RecordLimit: s.Quota.RecordBytes, BatchLimit: s.Quota.CallBytes,
+		AwayNotice: s.Bounds.AwayNotice, EvacuationLimit: s.Bounds.EvacuationLimit, RecordLimit: s.Quota.RecordBytes, BatchLimit: s.Quota.CallBytes,
 	}
 }
 
@@ -132,6 +134,7 @@
 		Log:            l.With(zap.String("instance", string(s.ID))),
 		WorkersPerCell: x.WorkersPerCell,
 		AgentsFrom:     x.AgentsFrom,
+		DataCentres:    slices.Sorted(maps.Keys(s.Regions)),
 	}
 	e.Reload(plannerOptions(s), s.Bounds.Grace)
 	parts := []struct {
--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -92,7 +92,7 @@
 	l.Options.AdviceLine = &e.adviceLine
 	l.Options.PredecessorStopped = k.predecessorEnded(from)
 	l.OnStats, l.OnLoad = e.Meter.AddPlannerStats, e.Meter.AddPlannerLoad
-	l.Spend = e.Spend
+	l.Spend, l.Evacuations = e.Spend, e.evacuations.Load
 	l.OnBegin = func(term sched.Offset) {
 		e.Meter.TermBegan()
 		k.lead.Store(l)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -13,13 +13,13 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/agent"
-	"github.com/parsleybarrow/parsleybarrow/internal/process/follow"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/meter"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
+	"github.com/parsleybarrow/parsleybarrow/pkg/evac"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
@@ -58,16 +58,20 @@
 	// WorkersPerCell is the number of workers per cell from which the number of
 	// cells is derived at the first start.
 	WorkersPerCell int
+	// DataCentres are the known data centres. If there are none, any name is taken for one.
+	DataCentres []sched.DataCentre
 	// AgentsFrom is the number of workers of a cell from which on its planner has
 	// other instances carry out its orders. With 0 it never has.
 	AgentsFrom int
 
 	// adviceLine is shared by the planners here: the advisor handles the calls of one
 	// instance one at a time.
-	adviceLine  turns.Line
-	directory   *peers.Directory
-	relay       *relay.Client
-	catalog     atomic.Pointer[catalog]
+	adviceLine turns.Line
+	directory  *peers.Directory
+	relay      *relay.Client
+	catalog    atomic.Pointer[catalog]
+	// evacuations is nil until the operator's records were read.
+	evacuations atomic.Pointer[evac.Set]
 	workers     *workerList
 	controllers atomic.Pointer[[]*cellController]
 	serving     atomic.Bool
@@ -98,13 +102,14 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
-	// catalogPollWait is how long a read of the operator's records waits for new
-	// ones. A configuration must be in force within 2.5 s, and the store may fail
-	// to answer a waiting read when the record arrives together with it.
-	catalogPollWait = 1500 * time.Millisecond
-	// catalogReadInterval is the time between two reads. It bounds their rate
+	// operatorPollWait is how long a read of the operator's records waits for new
+	// ones. A configuration must be in force within 2.5 s and an evacuation within a
+	// second, and the store may fail to answer a waiting read when the record arrives
+	// together with it. 40 instances make 50 reads a second, of 6,000 that a store handles.
+	operatorPollWait = 700 * time.Millisecond
+	// operatorReadInterval is the time between two reads. It bounds their rate
 	// while many configurations are written.
-	catalogReadInterval = 100 * time.Millisecond
+	operatorReadInterval = 100 * time.Millisecond
 	// storeRetryDelay is the time until a failed attempt to join, or to announce
 	// a term, is repeated.
 	storeRetryDelay = 300 * time.Millisecond
@@ -131,7 +136,7 @@
 	e.Log.Info("started", zap.String("instance", string(e.Self.ID)), zap.String("dataCentre", string(e.Self.DataCentre)),
 		zap.String("address", e.Self.Address))
 	var loops sync.WaitGroup
-	loops.Go(func() { e.followOperator(work) })
+	loops.Go(func() { newOperator(e).run(work) })
 	planning, stopPlanning := context.WithCancel(work)
 	defer stopPlanning()
 	loops.Go(func() { e.join(planning, work, &loops) })
@@ -310,16 +315,6 @@
 	}
 }
 
-// followOperator follows the operator's records until the context ends.
-func (e *Entry) followOperator(c context.Context) {
-	f := &follow.Follower{
-		Store: e.Store, Partition: e.Registry.Operator(), Clock: e.Clock,
-		Wait: catalogPollWait, ReadInterval: catalogReadInterval,
-		OnFullRead: e.applyOperatorRecords, OnAppended: e.applyOperatorRecords, OnError: e.storeStateLogger("operator"),
-	}
-	f.Run(c)
-}
-
 // storeStateLogger returns a function that takes the results of calls to the store
 // and logs when they begin to fail and when they succeed again.
 func (e *Entry) storeStateLogger(use string) func(error) {
@@ -335,21 +330,6 @@
 	}
 }
 
-// applyOperatorRecords installs the catalogs among the records. Records that can't be
-// decoded are logged and skipped.
-func (e *Entry) applyOperatorRecords(records []sched.KeyedRecord) {
-	for _, r := range records {
-		o, err := e.Registry.DecodeOperator(r)
-		if err != nil {
-			e.Log.Error("badOperatorRecord", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
-			continue
-		}
-		if o.Catalog != nil {
-			e.installCatalog(&catalog{o.Catalog, r.Value})
-		}
-	}
-}
-
 // installCatalog puts a catalog in force unless one of the same or a later version
 // already is.
 func (e *Entry) installCatalog(c *catalog) {
--- a/internal/process/entry/workers.go
+++ b/internal/process/entry/workers.go
@@ -14,7 +14,8 @@
 
 const (
 	// workerPollWait is how long a read of the workers' records waits for new ones;
-	// the reason for its length is that of catalogPollWait.
+	// the store may fail to answer a waiting read when the record arrives together with
+	// it.
 	workerPollWait = 1500 * time.Millisecond
 	// workerReadInterval is the time between two reads. It bounds their rate while
 	// many records change, and is short enough that a draining worker is known
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -32,6 +32,9 @@
 	// before they were read.
 	OnFullRead func(records []sched.KeyedRecord)
 	OnAppended func(records []sched.KeyedRecord)
+	// OnRead is called after each successful read, and after the functions above. It may be
+	// nil.
+	OnRead func()
 	// OnError is called by Run with the error of every failed read, and with nil
 	// after the first read that succeeds again. It may be nil.
 	OnError func(err error)
@@ -39,6 +42,10 @@
 	offset sched.Offset // where the next read begins
 	loaded bool         // Whole has been called
 	failed bool         // the last read failed
+	// failures counts the failed reads in a row, and sent is when the newest read that has
+	// succeeded was sent.
+	failures int
+	sent     time.Time
 }
 
 // Run follows the partition until the context ends.
@@ -71,39 +78,68 @@
 	if !f.loaded {
 		return f.ReadWhole(c)
 	}
-	x, cancel := context.WithTimeout(c, f.Wait+callTimeout)
-	defer cancel()
-	b, err := f.Store.Read(x, f.Partition, f.offset, f.Wait)
+	sent := f.Clock.Now()
+	b, err := f.readAppended(c)
 	var trimmed *sched.TrimmedError
 	if errors.As(err, &trimmed) {
 		return f.ReadWhole(c)
 	}
 	if err != nil {
+		f.failures++
 		return err
 	}
+	f.sent, f.failures = sent, 0
 	f.offset += sched.Offset(len(b.Records))
 	if len(b.Records) > 0 {
 		f.OnAppended(b.Records)
 	}
+	f.succeeded()
 	return nil
 }
 
+// readAppended reads the records appended since the last read. After a read that failed it
+// doesn't wait for new ones, and its timeouts are attemptTimeouts in turn: a store that has
+// just recovered may never answer the calls from before.
+func (f *Follower) readAppended(c context.Context) (sched.Batch, error) {
+	wait, timeout := f.Wait, f.Wait+callTimeout
+	if f.failures > 0 {
+		wait, timeout = 0, attemptTimeouts[(f.failures-1)%len(attemptTimeouts)]
+	}
+	x, cancel := context.WithTimeout(c, timeout)
+	defer cancel()
+	return f.Store.Read(x, f.Partition, f.offset, wait)
+}
+
+// succeeded calls OnRead.
+func (f *Follower) succeeded() {
+	if f.OnRead != nil {
+		f.OnRead()
+	}
+}
+
 // ReadWhole reads the newest record of every key and calls OnFullRead. The pages aren't a
 // snapshot, so the next read begins at the end of the partition as of the first
 // page; some records are then passed on twice.
 func (f *Follower) ReadWhole(c context.Context) error {
+	sent := f.Clock.Now()
 	records, end, err := Newest(c, f.Store, f.Partition)
 	if err != nil {
+		f.failures++
 		return err
 	}
-	f.offset, f.loaded = end, true
+	f.offset, f.sent, f.loaded, f.failures = end, sent, true, 0
 	f.OnFullRead(records)
+	f.succeeded()
 	return nil
 }
 
 // Offset returns the offset at which the next read begins.
 func (f *Follower) Offset() sched.Offset { return f.offset }
 
+// Sent returns when the newest read that has succeeded was sent. Its result holds at least
+// what was appended before.
+func (f *Follower) Sent() time.Time { return f.sent }
+
 // Newest returns the newest record of every key of a partition, and the end of the
 // partition as of the first page.
 func Newest(c context.Context, s sched.Store, p sched.Partition) ([]sched.KeyedRecord, sched.Offset, error) {
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -49,7 +49,12 @@
 	x, cancel := context.WithTimeout(l.callContext, l.orderTimeout())
 	defer cancel()
 	sent := l.Clock.Now()
-	a, err := send(l, func() (sched.OrderAnswer, error) { return l.Runner.Start(x, s.Worker, s.Order) })
+	a, err := send(l, func() (sched.OrderAnswer, error) {
+		if !l.mayStartIn(s.Worker.DataCentre) {
+			return sched.OrderAnswer{}, errEvacuated
+		}
+		return l.Runner.Start(x, s.Worker, s.Order)
+	})
 	r := cell.StartResult{
 		Result: l.callResult(s.Worker, s.Order.Token, sent, err), Key: hosts.Key{Task: s.Order.Task, Run: s.Order.Run},
 		Answer: a,
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -16,6 +16,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/codec"
+	"github.com/parsleybarrow/parsleybarrow/pkg/evac"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
@@ -46,6 +47,10 @@
 	// done for it, and returns once an emulated processor has done as much. It is nil on
 	// a real one.
 	Spend func(before, after cell.Stats)
+	// Evacuations returns the evacuations by the newest read of the operator's records, nil
+	// before the first one. If it is nil, there are none. It isn't called if
+	// Options.EvacuationLimit is 0.
+	Evacuations func() *evac.Set
 	// OnAppendOverdue is called, in a goroutine of its own, when an append takes so long
 	// that the instance may not reach the store. There is at most one call at a
 	// time. It may be nil.
@@ -87,6 +92,10 @@
 	retryRequested chan struct{}
 	begunAt        time.Time
 	lag            lag
+	// evacuations are those that the planner knows, and startsHeld is set while it holds
+	// starts. Only the planner's actor uses them.
+	evacuations *evac.Set
+	startsHeld  bool
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
 	reportedStats cell.Stats
 	reportedAt    time.Time
@@ -260,6 +269,7 @@
 	l.work.Waited(waited)
 	l.planner.SetDelay(waited)
 	before := l.planner.Stats()
+	l.updateEvacuations(l.Clock.Now())
 	l.measure(m.kind, m.run)
 	l.applyEffects()
 	if l.Spend != nil {
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -292,7 +292,7 @@
 		return
 	}
 	lease := h.Grant(now, p.options.LeaseLimit)
-	if j == nil || j.State.Final() || lease == 0 || !mayStart(h, slot, j.Queue.Service) || !p.mayOrder(now) ||
+	if j == nil || j.State.Final() || lease == 0 || !p.mayStart(h, slot, j.Queue.Service) || !p.mayOrder(now) ||
 		!p.permitted(now, j, stepRefOf(s.key.Task), h) {
 		p.loseRun(now, h, slot, "notSent")
 		return
@@ -307,7 +307,8 @@
 }
 
 // mayStart reports whether a placed run of a job of the service may start on its worker:
-// the worker is in service for it as at the placement, and its capacity isn't exceeded.
-func mayStart(h *hosts.Host, s *hosts.Slot, service string) bool {
-	return s.Incarnation == h.NewestIncarnation() && takes(h, service, s.Step) && !h.Over()
+// the worker is in service for it as at the placement, its capacity isn't exceeded, and
+// starts aren't held.
+func (p *Planner) mayStart(h *hosts.Host, s *hosts.Slot, service string) bool {
+	return s.Incarnation == h.NewestIncarnation() && p.takes(h, service, s.Step) && !h.Over() && !p.startsHeld()
 }
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -267,15 +267,15 @@
 // inService reports whether the worker takes tasks of the step, and hasn't just refused a
 // start for lack of room.
 func (p *Planner) inService(now time.Time, h *hosts.Host, service string, step *sched.Step) bool {
-	return takes(h, service, step) && now.After(h.NoRoomUntil)
+	return p.takes(h, service, step) && now.After(h.NoRoomUntil)
 }
 
 // takes reports whether the worker is listed in its newest incarnation, in contact, not
 // draining, of the service and with the label of the step, and has no runs of unknown
-// needs.
-func takes(h *hosts.Host, service string, step *sched.Step) bool {
+// needs, and whether its data centre isn't being evacuated.
+func (p *Planner) takes(h *hosts.Host, service string, step *sched.Step) bool {
 	return h.Listed && h.EntryCurrent() && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining &&
-		h.Service == service && (step.Label == "" || slices.Contains(h.Labels, step.Label))
+		h.Service == service && (step.Label == "" || slices.Contains(h.Labels, step.Label)) && !p.Evacuated(h.DataCentre)
 }
 
 // atTaskLimit reports whether the worker has as many tasks of the step as
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -24,7 +24,7 @@
 // placeWaiting places the waiting tasks for which there is room, step by step in
 // the order of their claims.
 func (p *Planner) placeWaiting(now time.Time) {
-	if len(p.waitingSteps) == 0 || now.Sub(p.placedAt) < placementInterval || !p.mayOrder(now) {
+	if len(p.waitingSteps) == 0 || now.Sub(p.placedAt) < placementInterval || !p.mayOrder(now) || p.startsHeld() {
 		return
 	}
 	p.placedAt = now
@@ -143,7 +143,7 @@
 func (p *Planner) serviceUse(service string) float64 {
 	var used, capacity sched.Resources
 	for _, h := range p.workers {
-		if h.Listed && h.Service == service {
+		if h.Listed && h.Service == service && !p.Evacuated(h.DataCentre) {
 			used, capacity = used.Plus(h.Used), capacity.Plus(h.Capacity)
 		}
 	}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -45,6 +45,9 @@
 	// PredecessorStopped is set if the preceding planner is known to send no more orders.
 	// Otherwise it may renew leases for another ProofValidity.
 	PredecessorStopped bool
+	// EvacuationLimit is how soon after its record an evacuation must be in force. With 0
+	// the planner doesn't wait for the first call of Evacuate.
+	EvacuationLimit time.Duration
 	// AdviceLine spaces the calls of the advisor, which handles those of one instance one
 	// at a time. The planners of an instance share it; one without has its own.
 	AdviceLine *turns.Line
@@ -136,6 +139,8 @@
 	// placedAt is when placeWaiting last passed over the waiting steps, and
 	// fillersPlacedAt when it last passed over those of fillers.
 	placedAt, fillersPlacedAt time.Time
+	// evacuations are the data centres in which nothing may start.
+	evacuations evacuations
 	// delay is how far the planner is behind, see SetDelay.
 	delay time.Duration
 }
--- a/pkg/sched/registry.go
+++ b/pkg/sched/registry.go
@@ -5,6 +5,16 @@
 type OperatorRecord struct {
 	Catalog *Catalog
 	Wave    *MaintenanceWave
+	// Evacuation tells whether a data centre is evacuated from the record on.
+	Evacuation *Evacuation
+}
+
+// Evacuation is a change of the evacuation of a data centre: from the record at Offset on,
+// nothing may start there, or, if it isn't in force, tasks may start there again.
+type Evacuation struct {
+	DataCentre DataCentre
+	InForce    bool
+	Offset     Offset
 }
 
 // Registry locates and decodes the records that the operator and the workers
