Rank candidates by capacity and make takeover attempts cheap

Cause: an instance with 0.192 of a processor could plan a cell although ten with 0.8 were available. Being near the store counted before processors, and the round trip was one read, made while the process starts; a read that took over 15 ms made a strong instance "far". Records of instances that are gone counted in the ranks, at 350 ms each. The question whether others reach the planner went to one candidate after the other, 900 ms for each lost one. A candidate of the next rank began after 350 ms, also while a better one was reading the records. And an instance that couldn't reach the planner read the whole cell although the planner appended, again and again.

Change: pkg/rank sorts able instances first (0.35 of a processor), then near, fewer cells, more processors; among the others more processors come first. The round trip is the shortest of up to eight reads. Ranks count only instances that are believed to be alive: the planner reports those that it no longer hears, and a candidate pings up to 16 better ones at a time once it has doubts. It waits up to 1.5 s for a better one that says it is beginning. An unanswered planner that appends is replaced only if its region, or an instance near the store, can't reach it and the store answers within 120 ms; the end of the partition is read beside the pings. The newest term record is read before the whole partition, and attempts that don't begin a term back off to 5 s. The first term waits until no instance has registered for 600 ms, for at most 2 s.

--- /dev/null
+++ b/internal/emu/site/placement_test.go
@@ -0,0 +1,160 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/emu/world"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// loadCounter counts the reads of whole cells.
+type loadCounter struct {
+	sched.Store
+	loads *atomic.Int64
+}
+
+func (s loadCounter) Newest(c context.Context, p sched.Partition, after string) (sched.NewestPage, error) {
+	if p.Topic == lead.Topic && after == "" {
+		s.loads.Add(1)
+	}
+	return s.Store.Newest(c, p, after)
+}
+
+// placementTrial starts a site with one cell and waits until it is planned.
+func placementTrial(instances int, prepare func(*trial)) (*trial, func()) {
+	x := newSizedTrial(5, instances, 6, 1)
+	prepare(x)
+	_, stop, loops := x.begin()
+	time.Sleep(10 * time.Second)
+	return x, func() {
+		stop()
+		x.site.End()
+		loops.Wait()
+		time.Sleep(lateTime)
+	}
+}
+
+// planned waits until an instance other than the given one plans the cell, and returns the
+// time that took.
+func (t *trial) planned(other sched.InstanceID, atMost time.Duration) time.Duration {
+	began := time.Now()
+	for time.Since(began) < atMost {
+		if p := t.site.Planner(0); p != "" && p != other {
+			return time.Since(began)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return atMost
+}
+
+// Guards against instances that can't reach the planner over a cut or full link between
+// regions, and that read the whole cell through this link again and again although the
+// planner appends.
+func TestInstancesOfACutRegionDoNotLoadACellThatIsPlanned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.NewRelaxed(t)
+		var loads atomic.Int64
+		far := func(id sched.InstanceID) bool { return id >= instance(3) }
+		x, end := placementTrial(6, func(x *trial) {
+			x.site.Adjust = func(p *peers.Instance) {
+				if far(p.ID) {
+					p.Region = "far"
+				}
+			}
+			x.site.WrapStore = func(id sched.InstanceID, s sched.Store) sched.Store {
+				if far(id) {
+					x.world.StorePath(id, func(p *world.Path) { p.Delay = 20 * time.Millisecond })
+					return loadCounter{s, &loads}
+				}
+				return s
+			}
+		})
+		before := x.site.Planner(0)
+		i.True(before != "" && !far(before)) // the planner is near the store
+		loads.Store(0)
+		for a := range 3 {
+			for b := 3; b < 6; b++ {
+				x.site.Cut(instance(a), instance(b), true)
+				x.site.Cut(instance(b), instance(a), true)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		i.Equal(loads.Load(), int64(0))
+		i.Equal(x.site.Planner(0), before)
+		end()
+	})
+}
+
+// Guards against a cell without a planner because records of instances that are gone count
+// in the ranks of a takeover.
+func TestInstancesThatAreGoneDoNotDelayATakeover(t *testing.T) {
+	const limit = 2500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		i := is.NewRelaxed(t)
+		x, end := placementTrial(4, func(x *trial) {
+			x.site.Adjust = func(p *peers.Instance) { p.Processors = 800 }
+		})
+		for n := range 60 {
+			id := sched.InstanceID(fmt.Sprint("gone-", n))
+			d := &peers.Directory{
+				Self:  peers.Instance{ID: id, Incarnation: 1, Address: string(id) + ":1", Region: "region", Processors: 4000},
+				Store: x.world.NewClient(id, world.Path{}, world.Path{}), Clock: x.world.Clock, Log: x.site.Log,
+			}
+			i.NoErr(d.Register(t.Context()))
+		}
+		time.Sleep(10 * time.Second)
+		before := x.site.Planner(0)
+		x.site.Kill(before)
+		took := x.planned(before, 30*time.Second)
+		t.Logf("planned again after %v", took)
+		i.True(took < limit)
+		end()
+	})
+}
+
+// Guards against a takeover that waits for each of the first candidates that are lost
+// together with the planner, or frozen.
+func TestCandidatesThatAreLostWithThePlannerAreNotWaitedFor(t *testing.T) {
+	// The live candidates ping the planner every 2 s until they know that others before
+	// them are gone.
+	const limit = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		i := is.NewRelaxed(t)
+		var planners sync.Map
+		x, end := placementTrial(14, func(x *trial) {
+			x.site.Adjust = func(p *peers.Instance) {
+				p.Processors = 800
+				if p.ID >= instance(6) { // "entry-6" to "entry-9"
+					p.Processors = 192
+				}
+				planners.Store(p.ID, p.Processors)
+			}
+		})
+		before := x.site.Planner(0)
+		power, _ := planners.Load(before)
+		i.Equal(power, 800) // the first planner is an able one
+		x.site.Kill(before)
+		for n := range 14 {
+			if id := instance(n); id < instance(6) && id != before {
+				x.world.Freeze(id)
+			}
+		}
+		took := x.planned(before, 30*time.Second)
+		t.Logf("planned again after %v", took)
+		i.True(took < limit)
+		for n := range 14 {
+			x.world.Thaw(instance(n))
+		}
+		end()
+	})
+}
--- a/internal/emu/site/site.go
+++ b/internal/emu/site/site.go
@@ -32,6 +32,10 @@
 	AgentsFrom int
 	// Spend emulates the processor time of the planners, see lead.Leader. It may be nil.
 	Spend func(before, after cell.Stats)
+	// Adjust changes the record of an instance before it starts, WrapStore the store that
+	// it uses. Both may be nil.
+	Adjust    func(*peers.Instance)
+	WrapStore func(sched.InstanceID, sched.Store) sched.Store
 	// Delay is the one-way delay between two instances, and to the platform.
 	Delay time.Duration
 
@@ -85,6 +89,12 @@
 		Log: s.Log.With(zap.String("instance", string(id))), WorkersPerCell: s.WorkersPerCell,
 		AgentsFrom: s.AgentsFrom, Spend: s.Spend,
 	}
+	if s.Adjust != nil {
+		s.Adjust(&e.Self)
+	}
+	if s.WrapStore != nil {
+		e.Store = s.WrapStore(id, side)
+	}
 	e.Reload(s.Options, 3*time.Second)
 	p.entry = e
 	c, stop := context.WithCancel(context.Background())
--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -120,7 +120,7 @@
 	e := &entry.Entry{
 		Self: peers.Instance{
 			ID: s.ID, Incarnation: sched.Incarnation(k.Now().UnixNano()), Address: s.Control, DataCentre: s.DataCentre,
-			Region: s.Region, Processors: int(s.Machine.Cores * millisPerProcessor),
+			Region: s.Region, Processors: int(s.Machine.Cores * millisPerProcessor), Memory: s.Machine.Memory,
 		},
 		CallerHandler:  func(d sched.JobService) http.Handler { return &users.Front{Desk: d} },
 		ReadyHandler:   users.ReadyHandler,
--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rank"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -51,8 +53,12 @@
 	// takeoverRequests receives the terms after which this instance is asked to
 	// plan the cell. It holds one; further ones are dropped while it is pending.
 	takeoverRequests chan sched.Offset
-	// backoff is used only by the goroutine of run.
-	backoff termBackoff
+	// backoff, after failures of the planner here, and attempts, after attempts that
+	// didn't begin a term, are used only by the goroutine of run.
+	backoff, attempts termBackoff
+	living            living
+	// beginning is set while this instance reads the records of the cell to begin a term.
+	beginning atomic.Bool
 }
 
 func newCellController(e *Entry, cell int) *cellController {
@@ -93,8 +99,12 @@
 	l.Options.PredecessorStopped = k.predecessorEnded(from)
 	l.OnStats, l.OnLoad = e.Meter.AddPlannerStats, e.Meter.AddPlannerLoad
 	l.Spend = e.Spend
+	k.beginning.Store(true)
+	defer k.beginning.Store(false)
 	l.OnBegin = func(term sched.Offset) {
+		k.beginning.Store(false)
 		e.Meter.TermBegan()
+		k.living.do(func(l *rank.Living) { *l = rank.Living{} })
 		k.lead.Store(l)
 		p := k.ownPlanner(term)
 		e.directory.UpdatePlanner(p)
@@ -106,13 +116,13 @@
 	if k.lead.CompareAndSwap(l, nil) {
 		e.workers.removeTerm()
 	}
+	if l.Number() == 0 {
+		k.attemptFailed()
+	}
 	var rival *lead.SupersededError
 	switch {
 	case errors.As(err, &rival):
-		e.directory.UpdatePlanner(peers.Planner{
-			Cell: k.number, Term: rival.Term.Number, ID: rival.Term.ID, Incarnation: rival.Term.Incarnation,
-			Address: rival.Term.Address,
-		})
+		k.learnPlanner(rival.Term)
 	case c.Err() != nil:
 		k.handOver(l.Number(), nil)
 		return
@@ -161,20 +171,27 @@
 	}
 }
 
+// handoverCandidates returns the candidates to ask in a handover, the best first: those
+// that count as alive.
+func (k *cellController) handoverCandidates() []peers.Instance {
+	var out []peers.Instance
+	now := k.entry.Clock.Now()
+	silent := k.silent()
+	for _, i := range k.entry.directory.Candidates(k.number) {
+		if i.ID != k.entry.Self.ID && k.alive(now, i.ID) && !slices.Contains(silent, i.ID) {
+			out = append(out, i)
+		}
+	}
+	return out[:min(len(out), maxHandoverRequests)]
+}
+
 // handOver asks the candidates in turn to plan the cell after the given term, until
 // one agrees, and returns that one. If stillSuspect isn't nil, each candidate is
 // first asked only whether it would; once one says yes, handOver gives up unless
 // stillSuspect returns true.
 func (k *cellController) handOver(after sched.Offset, stillSuspect func() bool) (peers.Instance, bool) {
 	e := k.entry
-	asked := 0
-	for _, i := range e.directory.Candidates(k.number) {
-		if i.ID == e.Self.ID {
-			continue
-		}
-		if asked++; asked > maxHandoverRequests {
-			break
-		}
+	for _, i := range k.handoverCandidates() {
 		if stillSuspect != nil {
 			if !k.requestTakeover(i, after, true) {
 				continue
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -67,7 +67,7 @@
 
 // Ping implements relay.Local.
 func (p localPlanners) Ping(c context.Context, q relay.Ping) relay.Pong {
-	out := relay.Pong{ID: p.Self.ID, Incarnation: p.Self.Incarnation, Leaving: p.leaving.Load()}
+	out := relay.Pong{ID: p.Self.ID, Incarnation: p.Self.Incarnation, Load: p.currentLoad()}
 	if controllers := p.controllers.Load(); controllers != nil {
 		for _, s := range *controllers {
 			l := s.lead.Load()
@@ -77,13 +77,18 @@
 			out.Planners = append(out.Planners, s.ownPlanner(l.Number()))
 			if s.number == q.Cell {
 				out.ProofAge = l.ProofAge()
+				s.heard(q.From)
+				out.Silent = s.silent()
 			}
 		}
 	}
+	if s := p.controller(q.Cell); s != nil {
+		out.Beginning = s.beginning.Load()
+	}
 	if q.ProbePlanner {
 		out.PlannerReached = p.reaches(c, q.Cell)
 	}
-	if s := p.controller(q.Cell); q.TakeOverAfter > 0 && s != nil && !out.Leaving {
+	if s := p.controller(q.Cell); q.TakeOverAfter > 0 && s != nil && !out.Load.Leaving {
 		out.TakeOverAccepted = s.canTakeOver(c, q.TakeOverAfter) && (q.QueryOnly || s.acceptTakeover(q.TakeOverAfter))
 	}
 	return out
--- a/internal/process/entry/monitor.go
+++ b/internal/process/entry/monitor.go
@@ -23,9 +23,14 @@
 	// probeTimeout bounds a ping by which another instance is asked to ping the
 	// planner in turn.
 	probeTimeout = 900 * time.Millisecond
-	// firstTermDelay is the wait before the first term of a cell, so that all
-	// instances have registered and the best candidate begins it.
-	firstTermDelay = 600 * time.Millisecond
+	// firstTermDelay is the time without a further instance in the directory after which
+	// the first term of a cell may begin, so that the best candidate begins it.
+	// maxFirstTermDelay bounds the wait for that.
+	firstTermDelay    = 600 * time.Millisecond
+	maxFirstTermDelay = 2 * time.Second
+	// earlyObserveDelay is the time without an answer to a ping after which the partition
+	// is observed, before the ping has failed.
+	earlyObserveDelay = 120 * time.Millisecond
 )
 
 // plannerMonitor monitors the planner of one cell until this instance should take
@@ -34,71 +39,87 @@
 	cell    *cellController
 	planner peers.Planner // as last read from the directory
 
-	watch        watch.Monitor
-	probePending bool
-	probeResults chan probeResult
+	watch watch.Monitor
+	// observation calls the other instances and the store. The results are sent to
+	// observed.
+	observation observation
+	// instances is the number of instances in the directory, grownAt when it last grew.
+	instances int
+	grownAt   time.Time
+	// otherBegan is when a better candidate first said that it is beginning a term after
+	// that of planner. Until waitUntil this instance leaves the cell to it.
+	otherBegan, waitUntil time.Time
 }
 
-// probeResult is the result of asking other instances about the planner: whether
-// one of them answered, and if so, whether it reaches the planner.
-type probeResult struct{ answered, reaches bool }
-
 // run returns when this instance should take the cell over, with the reason for the
 // log. It returns an empty string when the context has ended. After failures of the
-// planner here it waits longer, unless the present planner asks for the takeover.
+// planner here, and after attempts that didn't begin a term, it waits longer, unless the
+// present planner asks for the takeover.
 func (m *plannerMonitor) run(c context.Context) string {
 	e := m.cell.entry
 	began := e.Clock.Now()
-	m.probeResults = make(chan probeResult, 1)
+	m.observation.init(m)
 	for {
 		p, known := e.directory.Planner(m.cell.number)
 		if p.Term != m.planner.Term {
-			m.watch = watch.Monitor{}
+			m.watch, m.otherBegan, m.waitUntil = watch.Monitor{}, time.Time{}, time.Time{}
 		}
 		m.planner = p
 		m.checkPlanner(c, p, known)
-		now := e.Clock.Now()
-		yes, why := m.watch.TakeOver(now)
-		if yes && !now.Before(m.cell.backoff.until) && (known || now.Sub(began) >= firstTermDelay) {
-			return why
-		}
-		select {
-		case after := <-m.cell.takeoverRequests:
-			if m.planner, _ = e.directory.Planner(m.cell.number); m.planner.Term <= after {
-				return "asked by the planner"
+		for next := time.After(m.interval()); next != nil; {
+			now := e.Clock.Now()
+			yes, why := m.watch.TakeOver(now)
+			if yes && !now.Before(m.waitUntil) && m.cell.mayBegin(now) && (known || m.settled(began, now)) && m.checkTerm(c, p, known) {
+				return why
+			}
+			select {
+			case after := <-m.cell.takeoverRequests:
+				if m.planner, _ = e.directory.Planner(m.cell.number); m.planner.Term <= after {
+					return "asked by the planner"
+				}
+				next = nil
+			case apply := <-m.observation.results:
+				apply()
+				m.updateRank(p)
+			case <-next:
+				next = nil
+			case <-c.Done():
+				return ""
 			}
-		case o := <-m.probeResults:
-			m.applyProbe(o)
-		case <-time.After(m.interval()):
-		case <-c.Done():
-			return ""
 		}
 	}
 }
 
+// settled reports whether the first term of the cell may begin: no instance has joined for
+// some time.
+func (m *plannerMonitor) settled(began, now time.Time) bool {
+	if n := len(m.cell.entry.directory.Instances()); n > m.instances {
+		m.instances, m.grownAt = n, now
+	}
+	if m.grownAt.IsZero() {
+		m.grownAt = began
+	}
+	return now.Sub(m.grownAt) >= firstTermDelay || now.Sub(began) >= maxFirstTermDelay
+}
+
 // checkPlanner updates the watch with the state of the planner. It pings the planner
 // unless the directory names none or names this instance, and observes the
 // partition if the watch asks for that.
 func (m *plannerMonitor) checkPlanner(c context.Context, p peers.Planner, known bool) {
 	e := m.cell.entry
-	m.watch.Rank = e.directory.Rank(m.cell.number, p.ID)
+	m.updateRank(p)
 	switch {
 	case !known:
 		m.watch.RecordAnswer(e.Clock.Now(), false, 0)
 	case p.ID == e.Self.ID:
 		// The directory names a term of an earlier process of this instance,
-		// which has ended, or a term that this process has just lost. In the
-		// first case this instance is the best candidate, since it has proof that
-		// the planner is gone.
-		if p.Incarnation != e.Self.Incarnation {
-			m.watch.Rank = 0
-		}
+		// which has ended, or a term that this process has just lost.
 		m.watch.RecordAnswer(e.Clock.Now(), false, 0)
 	default:
 		m.ping(c, p)
 	}
-	if m.watch.Observes() {
-		m.observe(c, p)
+	if known && (m.watch.Observes() || m.watch.Idle()) {
+		m.observation.start(c, p)
 	}
 }
 
@@ -118,7 +139,9 @@
 	e := m.cell.entry
 	x, cancel := context.WithTimeout(c, pingTimeout)
 	defer cancel()
-	pong, err := e.relay.Ping(x, p.Address, relay.Ping{From: e.Self.ID, Cell: m.cell.number})
+	late := time.AfterFunc(earlyObserveDelay, func() { m.observation.startRead(c) })
+	pong, err := e.relay.Ping(x, p.Address, m.cell.ping())
+	late.Stop()
 	now := e.Clock.Now()
 	if err != nil {
 		m.watch.RecordNoAnswer(now, relay.IsConnectionError(err))
@@ -130,51 +153,64 @@
 	if q, _ := e.directory.Planner(m.cell.number); q.Term != p.Term {
 		return
 	}
-	m.watch.RecordAnswer(now, pong.Plans(m.cell.number), pong.ProofAge)
+	plans := pong.Plans(m.cell.number)
+	if plans {
+		m.cell.attempts = termBackoff{}
+		m.cell.recordSilent(now, pong.Silent)
+	}
+	m.watch.RecordAnswer(now, plans, pong.ProofAge)
 }
 
-// observe reads the end of the cell's partition, which shows whether the planner
-// still appends, and starts a probe unless one is pending.
-func (m *plannerMonitor) observe(c context.Context, p peers.Planner) {
+// updateRank counts the instances that rank before this one and are believed to be alive.
+func (m *plannerMonitor) updateRank(p peers.Planner) {
 	e := m.cell.entry
-	x, cancel := context.WithTimeout(c, pingTimeout)
-	b, err := e.Store.Read(x, lead.Partition(m.cell.number), offsetPastEnd, 0)
-	cancel()
-	if err != nil {
-		m.watch.RecordReadFailure()
-	} else {
-		m.watch.RecordEnd(e.Clock.Now(), b.End)
+	now, rank := e.Clock.Now(), 0
+	for _, i := range e.directory.Better(m.cell.number, p.ID) {
+		if m.cell.alive(now, i.ID) {
+			rank++
+		}
+	}
+	if p.ID == e.Self.ID && p.Incarnation != e.Self.Incarnation {
+		// The directory names a term of an earlier process of this instance, which
+		// has ended: this instance has proof that the planner is gone. It begins at
+		// once if it is able, and else leaves one candidate the time to do so.
+		rank = min(rank, 1)
+		if e.directory.Self.Candidate(0).Able() {
+			rank = 0
+		}
 	}
-	if !m.probePending {
-		m.probePending = true
-		go m.probe(c, p)
+	m.watch.Rank = rank
+	m.watch.Near = m.isNear(p, e.directory.Self)
+	if e.Meter != nil {
+		e.Meter.SetRank(m.cell.number, rank)
 	}
 }
 
-func (m *plannerMonitor) applyProbe(o probeResult) {
-	m.probePending = false
-	m.watch.SetAlone(!o.answered)
-	if o.answered {
-		m.watch.RecordPeerReport(m.cell.entry.Clock.Now(), o.reaches)
+// isNear reports whether an instance is in the planner's region or near the store.
+func (m *plannerMonitor) isNear(p peers.Planner, i peers.Instance) bool {
+	if i.Candidate(0).Near() {
+		return true
 	}
+	planner, known := m.cell.entry.directory.Instance(p.ID)
+	return !known || planner.Region == i.Region
 }
 
-// probe asks the other candidates in turn whether they reach the planner, until one
-// answers, and sends the result to probeResults.
-func (m *plannerMonitor) probe(c context.Context, p peers.Planner) {
+// checkTerm reads the cell's newest term record, which is cheap, before the takeover reads
+// the whole partition. It reports whether that would succeed as far as can be known: the
+// store answers and names no other term. If it names one, the directory is updated.
+func (m *plannerMonitor) checkTerm(c context.Context, p peers.Planner, known bool) bool {
 	e := m.cell.entry
-	var o probeResult
-	for _, i := range e.directory.Candidates(m.cell.number) {
-		if i.ID == e.Self.ID || i.ID == p.ID {
-			continue
-		}
-		x, cancel := context.WithTimeout(c, probeTimeout)
-		pong, err := e.relay.Ping(x, i.Address, relay.Ping{From: e.Self.ID, Cell: m.cell.number, ProbePlanner: true})
-		cancel()
-		if err == nil {
-			o = probeResult{true, pong.PlannerReached}
-			break
-		}
+	if !known {
+		return true // the partition is empty or has a term that no record of the directory names
+	}
+	t, err := lead.NewestTerm(c, e.Store, m.cell.number)
+	if err != nil {
+		m.cell.attemptFailed()
+		return false
+	}
+	if t.Ended || t.ID == "" || t.Number <= p.Term || t.ID == e.Self.ID {
+		return true
 	}
-	m.probeResults <- o
+	m.cell.learnPlanner(t)
+	return false
 }
--- a/internal/process/lead/load.go
+++ b/internal/process/lead/load.go
@@ -183,6 +183,21 @@
 	return t
 }
 
+// NewestTerm reads the newest term record of a cell, without its other records. The term is
+// empty if there is none.
+func NewestTerm(c context.Context, s sched.Store, cell int) (Term, error) {
+	before := TermKey[:len(TermKey)-1] // sorts just before TermKey
+	page, err := follow.ReadWithRetry(c, func(x context.Context) (sched.NewestPage, error) {
+		return s.Newest(x, Partition(cell), before)
+	})
+	if err != nil {
+		return Term{}, err
+	}
+	k := &keyedState{records: map[string]sched.KeyedRecord{}}
+	k.apply(page.Records)
+	return k.newestTerm(), nil
+}
+
 // progressDecoder adds the progress that a record holds to a job.
 type progressDecoder func(j *jobs.Job, progress []byte) error
 
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -64,6 +64,11 @@
 // TermBegan counts a term that a planner of this instance has begun.
 func (m *Meter) TermBegan() { m.set.GetOrCreateCounter(termsTotal).Inc() }
 
+// SetRank sets the number of candidates for a cell that rank before this instance.
+func (m *Meter) SetRank(cell, rank int) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("%s{cell=\"%d\"}", candidateRank, cell), nil).Set(float64(rank))
+}
+
 // AddPlannerStats adds the differences between two readings of a planner's statistics
 // to the planner counters.
 func (m *Meter) AddPlannerStats(before, after cell.Stats) {
--- a/internal/process/peers/directory.go
+++ b/internal/process/peers/directory.go
@@ -3,19 +3,18 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/follow"
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rank"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -41,8 +40,10 @@
 	// Processors is the processor time that the instance may use, in thousandths
 	// of a processor.
 	Processors int
-	// StoreRTT is the round trip to the store that the instance measured when it
-	// registered.
+	// Memory is the memory that the instance may use, in bytes; 0 if unknown.
+	Memory int64
+	// StoreRTT is the shortest round trip to the store that the instance measured when
+	// it registered.
 	StoreRTT time.Duration
 }
 
@@ -161,7 +162,7 @@
 	if n := sched.Incarnation(m.GetIncarnation()); n >= d.instances[id].Incarnation {
 		d.instances[id] = Instance{
 			ID: id, Incarnation: n, Address: m.GetAddress(), DataCentre: sched.DataCentre(m.GetDataCentre()),
-			Region: sched.Region(m.GetRegion()), Processors: int(m.GetProcessors()),
+			Region: sched.Region(m.GetRegion()), Processors: int(m.GetProcessors()), Memory: int64(m.GetMemory()),
 			StoreRTT: time.Duration(m.GetStoreTrip()) * time.Microsecond,
 		}
 	}
@@ -241,64 +242,64 @@
 	return out
 }
 
-// maxNearTrip is the longest round trip of an instance that counts as near the
-// store.
-const maxNearTrip = 15 * time.Millisecond
+// Instance returns the record of an instance and whether there is one.
+func (d *Directory) Instance(id sched.InstanceID) (Instance, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if id == d.Self.ID {
+		return d.Self, true
+	}
+	i, known := d.instances[id]
+	return i, known
+}
 
-// Candidates returns the known instances, this one included, in the order in which
-// they should plan the cell: those near the store first, then those that plan fewer
-// other cells, then those with more processors. A hash of the cell and the id breaks
-// ties: it spreads the cells and gives the same order at every instance.
+// Candidates returns the known instances, this one included, in the order in which they
+// should plan the cell, see rank.Sort. The order is the same at every instance that has
+// read the same records.
 func (d *Directory) Candidates(cell int) []Instance {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	type candidate struct {
-		Instance
-		far      int // 0 or 1
-		cells    int // number of other cells that it plans
-		tieBreak uint64
-	}
-	var all []candidate
-	add := func(i Instance) {
-		c := candidate{Instance: i, tieBreak: xxhash.Sum64String(fmt.Sprintf("%d/%s", cell, i.ID))}
-		if i.StoreRTT > maxNearTrip {
-			c.far = 1
-		}
-		for _, p := range d.planners {
-			if p.ID == i.ID && p.Cell != cell {
-				c.cells++
-			}
+	cells := map[sched.InstanceID]int{}
+	for _, p := range d.planners {
+		if p.Cell != cell {
+			cells[p.ID]++
 		}
-		all = append(all, c)
 	}
+	known := map[sched.InstanceID]Instance{d.Self.ID: d.Self}
 	for id, i := range d.instances {
 		if id != d.Self.ID {
-			add(i)
+			known[id] = i
 		}
 	}
-	add(d.Self)
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.cells, b.cells), cmp.Compare(b.Processors, a.Processors),
-			cmp.Compare(a.tieBreak, b.tieBreak))
-	})
+	all := make([]rank.Candidate, 0, len(known))
+	for id, i := range known {
+		all = append(all, i.Candidate(cells[id]))
+	}
+	rank.Sort(cell, all)
 	out := make([]Instance, len(all))
 	for k, c := range all {
-		out[k] = c.Instance
+		out[k] = known[c.ID]
 	}
 	return out
 }
 
-// Rank returns this instance's place, from 0, among the candidates for the cell. The
-// given instance, usually the present planner, isn't counted.
-func (d *Directory) Rank(cell int, without sched.InstanceID) int {
-	rank := 0
+// Candidate returns the instance as a candidate for a cell that plans the given number of
+// other cells.
+func (i Instance) Candidate(cells int) rank.Candidate {
+	return rank.Candidate{ID: i.ID, Processors: i.Processors, StoreRTT: i.StoreRTT, Cells: cells}
+}
+
+// Better returns the instances, other than the given one, that rank before this one among
+// the candidates for the cell. The given one is usually the present planner.
+func (d *Directory) Better(cell int, without sched.InstanceID) []Instance {
+	var out []Instance
 	for _, i := range d.Candidates(cell) {
 		if i.ID == d.Self.ID {
-			return rank
+			break
 		}
 		if i.ID != without {
-			rank++
+			out = append(out, i)
 		}
 	}
-	return rank
+	return out
 }
--- a/internal/process/peers/write.go
+++ b/internal/process/peers/write.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -17,21 +19,48 @@
 	if err := d.ensureFollower().ReadWhole(c); err != nil {
 		return err
 	}
-	began := d.Clock.Now()
-	if _, err := d.Store.Read(c, Partition, d.ensureFollower().Offset(), 0); err != nil {
+	trip, err := d.measureTrip(c)
+	if err != nil {
 		return err
 	}
 	d.mu.Lock()
-	d.Self.StoreRTT = d.Clock.Now().Sub(began)
+	d.Self.StoreRTT = trip
 	m := &pb.CellInstance{
 		Incarnation: uint64(d.Self.Incarnation), Address: d.Self.Address, DataCentre: string(d.Self.DataCentre),
 		Region: string(d.Self.Region), Processors: uint32(d.Self.Processors),
-		StoreTrip: uint32(d.Self.StoreRTT.Microseconds()),
+		StoreTrip: uint32(d.Self.StoreRTT.Microseconds()), Memory: uint64(d.Self.Memory),
 	}
 	d.mu.Unlock()
 	return d.write(c, instancePrefix+string(d.Self.ID), m)
 }
 
+const (
+	// tripSamples bounds the reads by which the round trip to the store is measured. The
+	// shortest counts: single reads take up to 100 ms longer while the process starts on
+	// a slow processor and while the store answers many instances that start.
+	tripSamples = 8
+	// tripPause is the time between two of them, and enoughTrip the round trip at which
+	// no further one is made.
+	tripPause  = 10 * time.Millisecond
+	enoughTrip = 8 * time.Millisecond
+)
+
+// measureTrip returns the shortest time of some reads of the end of the partition.
+func (d *Directory) measureTrip(c context.Context) (time.Duration, error) {
+	best := time.Duration(math.MaxInt64)
+	for range tripSamples {
+		began := d.Clock.Now()
+		if _, err := d.Store.Read(c, Partition, d.ensureFollower().Offset(), 0); err != nil {
+			return 0, err
+		}
+		best = min(best, d.Clock.Now().Sub(began))
+		if best <= enoughTrip || d.Clock.Sleep(c, tripPause) != nil {
+			break
+		}
+	}
+	return best, nil
+}
+
 // Unregister removes this instance's record.
 func (d *Directory) Unregister(c context.Context) error {
 	return d.append(c, sched.AnyEnd, sched.KeyedRecord{Key: instancePrefix + string(d.Self.ID)})
--- a/internal/process/relay/client.go
+++ b/internal/process/relay/client.go
@@ -133,14 +133,20 @@
 func (c *Client) Ping(x context.Context, address string, q Ping) (Pong, error) {
 	m, err := c.service(address).Ping(x, &pb.RelayPing{
 		Cell: uint32(q.Cell), From: string(q.From), Probe: q.ProbePlanner, Take: int64(q.TakeOverAfter), Offer: q.QueryOnly,
+		Load: q.Load.message(),
 	})
 	if err != nil {
 		return Pong{}, err
 	}
 	p := Pong{
 		ID: sched.InstanceID(m.GetInstance()), Incarnation: sched.Incarnation(m.GetIncarnation()),
-		ProofAge: time.Duration(m.GetProofAge()) * time.Millisecond, Leaving: m.GetLeaving(),
-		PlannerReached: m.GetReaches(), TakeOverAccepted: m.GetTakes(),
+		ProofAge:       time.Duration(m.GetProofAge()) * time.Millisecond,
+		PlannerReached: m.GetReaches(), TakeOverAccepted: m.GetTakes(), Load: loadOf(m.GetLoad()), Loaded: m.GetLoaded(),
+		Beginning: m.GetBeginning(),
+	}
+	p.Load.Leaving = p.Load.Leaving || m.GetLeaving()
+	for _, id := range m.GetSilent() {
+		p.Silent = append(p.Silent, sched.InstanceID(id))
 	}
 	for _, r := range m.GetPlanners() {
 		p.Planners = append(p.Planners, peers.PlannerOf(int(r.GetCell()), r))
--- a/internal/process/relay/server.go
+++ b/internal/process/relay/server.go
@@ -28,8 +28,16 @@
 	// ProofAge is the age of the last proof from the store that no other planner
 	// had taken over Ping.Cell. It is 0 if the instance doesn't plan that cell.
 	ProofAge time.Duration
-	// Leaving is set while the instance drains.
-	Leaving bool
+	// Load is how busy the instance is.
+	Load Load
+	// Silent are the instances of the directory that the planner of Ping.Cell no longer
+	// hears. Only that planner sets it.
+	Silent []sched.InstanceID
+	// Loaded is set once the receiver of an accepted request to take Ping.Cell over has read the
+	// records of the cell and is ready to begin a term.
+	Loaded bool
+	// Beginning is set while the receiver reads the records of Ping.Cell to begin a term.
+	Beginning bool
 	// PlannerReached answers Ping.ProbePlanner.
 	PlannerReached bool
 	// TakeOverAccepted answers Ping.TakeOverAfter: the receiver takes the cell over, or would do so
@@ -50,6 +58,8 @@
 	// QueryOnly reduces TakeOverAfter to the question whether the receiver would take the
 	// cell over.
 	QueryOnly bool
+	// Load is how busy the sender is.
+	Load Load
 }
 
 // Plans reports whether the instance that answered plans the cell.
@@ -155,10 +165,14 @@
 func (s *service) Ping(c context.Context, m *pb.RelayPing) (*pb.RelayPong, error) {
 	p := s.local.Ping(c, Ping{
 		From: sched.InstanceID(m.GetFrom()), Cell: int(m.GetCell()), ProbePlanner: m.GetProbe(), TakeOverAfter: sched.Offset(m.GetTake()), QueryOnly: m.GetOffer(),
+		Load: loadOf(m.GetLoad()),
 	})
 	out := &pb.RelayPong{
-		Instance: string(p.ID), Incarnation: uint64(p.Incarnation), ProofAge: uint32(p.ProofAge.Milliseconds()), Leaving: p.Leaving,
-		Reaches: p.PlannerReached, Takes: p.TakeOverAccepted,
+		Instance: string(p.ID), Incarnation: uint64(p.Incarnation), ProofAge: uint32(p.ProofAge.Milliseconds()), Leaving: p.Load.Leaving,
+		Reaches: p.PlannerReached, Takes: p.TakeOverAccepted, Load: p.Load.message(), Loaded: p.Loaded, Beginning: p.Beginning,
+	}
+	for _, id := range p.Silent {
+		out.Silent = append(out.Silent, string(id))
 	}
 	for _, x := range p.Planners {
 		out.Planners = append(out.Planners, x.Message())
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -29,6 +29,16 @@
 	staleProofAge = 800 * time.Millisecond
 )
 
+const (
+	// appendingPeriod is the time without growth of the partition after which the
+	// planner no longer counts as appending: KeepAlive and the round trip of an append.
+	appendingPeriod = KeepAlive + 60*time.Millisecond
+	// maxReadTime is the longest time of a read of the end of the partition with which
+	// the candidate reaches the store well enough to replace a planner that still
+	// appends. One that takes longer would be no better planner.
+	maxReadTime = 120 * time.Millisecond
+)
+
 // KeepAlive is the longest time between two appends of a planner.
 const KeepAlive = 500 * time.Millisecond
 
@@ -37,14 +47,20 @@
 type Monitor struct {
 	// Rank is the candidate's position in the order of takeover, from 0.
 	Rank int
+	// Near is set if the candidate is in the planner's region or near the store, so that
+	// a call to the planner without an answer isn't explained by a link between regions.
+	Near bool
 
 	firstMissed  time.Time // first call without an answer since the last answer
 	connRefused  bool
 	firstIdle    time.Time // first answer that the instance doesn't plan the cell
 	proofStale   bool
 	partitionEnd sched.Offset
-	lastGrown    time.Time // newest observed growth of the partition, or start of the observation
-	agreedAt     time.Time // newest report of another instance that it can't reach the planner
+	lastGrown    time.Time     // newest observed growth of the partition, or start of the observation
+	lastRead     time.Time     // when the newest read of the end was sent
+	readTime     time.Duration // of the newest read of the end
+	agreedAt     time.Time     // newest report of another instance that it can't reach the planner
+	agreedNearAt time.Time     // the same, of an instance with Near set
 	alone        bool
 	opposedAt    time.Time // newest report of another instance that it reaches the planner
 }
@@ -79,37 +95,63 @@
 // and ask other instances whether they reach the planner.
 func (w *Monitor) Observes() bool { return !w.firstMissed.IsZero() || w.proofStale }
 
-// RecordEnd records the end of the partition as just read.
-func (w *Monitor) RecordEnd(now time.Time, end sched.Offset) {
+// Idle reports whether no instance is known to plan the cell.
+func (w *Monitor) Idle() bool { return !w.firstIdle.IsZero() }
+
+// RecordEnd records the end of the partition as read by a call from sent to now.
+func (w *Monitor) RecordEnd(sent, now time.Time, end sched.Offset) {
 	if w.lastGrown.IsZero() || end != w.partitionEnd {
 		w.partitionEnd, w.lastGrown = end, now
 	}
+	w.lastRead, w.readTime = sent, now.Sub(sent)
+}
+
+// quiet returns for how long the partition certainly hasn't grown: from the answer to the
+// first read that gave its present end until the newest read was sent.
+func (w *Monitor) quiet() time.Duration {
+	if w.lastGrown.IsZero() {
+		return 0
+	}
+	return max(w.lastRead.Sub(w.lastGrown), 0)
 }
 
 // RecordReadFailure records that the partition couldn't be read, which restarts the
 // observation of its growth.
-func (w *Monitor) RecordReadFailure() { w.lastGrown = time.Time{} }
+func (w *Monitor) RecordReadFailure() { w.lastGrown, w.lastRead = time.Time{}, time.Time{} }
 
 // RecordPeerReport records the report of another instance on whether it reaches the
-// planner.
-func (w *Monitor) RecordPeerReport(now time.Time, reaches bool) {
+// planner. near is the other instance's Monitor.Near.
+func (w *Monitor) RecordPeerReport(now time.Time, reaches, near bool) {
 	if reaches {
 		w.opposedAt = now
 		return
 	}
 	w.agreedAt = now
+	if near {
+		w.agreedNearAt = now
+	}
 }
 
 // SetAlone records whether no other instance could be asked.
 func (w *Monitor) SetAlone(alone bool) { w.alone = alone }
 
+// mayReplace reports whether the candidate may replace a planner that doesn't answer. To
+// read the whole partition for that is futile while the planner appends: an append of the
+// candidate then fails. It may be only the candidate's link that is cut or full. So the
+// partition has to be quiet, or no process to listen at the planner's address, or an
+// instance with Near set not to reach the planner while the store answers this one fast.
+func (w *Monitor) mayReplace(now time.Time) bool {
+	isolated := (w.Near || now.Sub(w.agreedNearAt) < opinionLifetime) && w.readTime <= maxReadTime && !w.lastRead.IsZero()
+	return w.connRefused || w.quiet() >= appendingPeriod || isolated
+}
+
 // TakeOver reports whether the candidate should begin a term, and why.
 func (w *Monitor) TakeOver(now time.Time) (bool, string) {
 	wait := time.Duration(w.Rank) * rankDelay
 	if !w.firstIdle.IsZero() && now.Sub(w.firstIdle) >= wait {
 		return true, "planner restarted"
 	}
-	if !w.lastGrown.IsZero() && w.Observes() && now.Sub(w.lastGrown) >= partitionQuietTime+wait {
+	if !w.lastGrown.IsZero() && w.Observes() && w.quiet() >= partitionQuietTime+wait {
 		return true, "partition is quiet"
 	}
 	if w.firstMissed.IsZero() {
@@ -120,7 +162,7 @@
 		timeout = refusedTimeout
 	}
 	confirmed := now.Sub(w.agreedAt) < opinionLifetime && now.Sub(w.opposedAt) >= opinionLifetime
-	if now.Sub(w.firstMissed) >= timeout+wait && (confirmed || w.alone) {
+	if now.Sub(w.firstMissed) >= timeout+wait && (confirmed || w.alone) && w.mayReplace(now) {
 		return true, "planner can't be reached"
 	}
 	return false, ""
