Limit the resources of clients' requests at an entry instance

Cause: 1,500 stalled requests, each inside the limits of size, take 372 to 583 MB; bodies have no timeout; any number of connections is accepted.

Change: internal/process/guard wraps the four listeners and handlers of an entry instance. It reserves memory for a connection at once, for a header chunk by chunk before it is parsed, and for a body before it is read. It closes others or refuses when a share is used up, and once a second ends bodies and answers without progress. The Go runtime's memory limit follows from the machine's. Refusals are 503 with Retry-After, 431, 413 and 408 with the usual body.

--- a/internal/process/agent/server.go
+++ b/internal/process/agent/server.go
@@ -35,6 +35,9 @@
 	return pbconnect.NewOrdersHandler(&service{r, k, leaving}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
+// Lasting reports whether the requests with a path last for as long as a planner has orders.
+func Lasting(path string) bool { return path == pbconnect.OrdersCarryProcedure }
+
 // service implements pbconnect.OrdersHandler.
 type service struct {
 	runner  sched.OrderClient
--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/entry"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/sink"
+	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -42,6 +44,9 @@
 		return err
 	}
 	e.LinesDropped = lines.Dropped
+	if e.Budget.Runtime > 0 {
+		debug.SetMemoryLimit(e.Budget.Runtime)
+	}
 	// One waiting hang-up is enough: the file is read after it.
 	hangups := make(chan struct{}, 1)
 	hangup := func() {
@@ -130,6 +135,7 @@
 		Advisor:        &users.Advisor{Client: client, Address: s.Advice},
 		Clock:          k,
 		Log:            l.With(zap.String("instance", string(s.ID))),
+		Budget:         budget.Of(s.Machine.Memory, s.Machine.Descriptors),
 		WorkersPerCell: x.WorkersPerCell,
 		AgentsFrom:     x.AgentsFrom,
 	}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -14,11 +14,13 @@
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/agent"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/follow"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/guard"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/meter"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
+	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
@@ -62,6 +64,10 @@
 	// other instances carry out its orders. With 0 it never has.
 	AgentsFrom int
 
+	// Budget bounds what the clients of the listeners may take. If it is zero, Run sets
+	// that of a machine whose limits are unknown.
+	Budget budget.Limits
+
 	// adviceLine is shared by the planners here: the advisor handles the calls of one
 	// instance one at a time.
 	adviceLine  turns.Line
@@ -195,25 +201,37 @@
 // to failed. The contexts of callers' calls derive from the given one: when it ends, after
 // the drain, each call is answered with what is known about it by then.
 func (e *Entry) serve(calls context.Context, failed chan<- error) []*http.Server {
+	if e.Budget == (budget.Limits{}) {
+		e.Budget = budget.Of(0, 0)
+	}
 	parts := []struct {
-		use      string
-		listener net.Listener
-		handler  func() http.Handler
+		use           string
+		listener      net.Listener
+		handler       func() http.Handler
+		share         budget.Share
+		receiveBuffer int
 	}{
-		{"callers", e.CallerListener, func() http.Handler { return e.trackCalls(e.CallerHandler(e.Meter.WrapJobService(e))) }},
-		{"balancer", e.BalancerListener, func() http.Handler { return e.ReadyHandler(e) }},
-		{"peers", e.PeerListener, e.PeerHandler},
-		{"metrics", e.MetricsListener, e.metricsHandler},
+		{
+			"callers", e.CallerListener, func() http.Handler { return e.trackCalls(e.CallerHandler(e.Meter.WrapJobService(e))) },
+			e.Budget.Callers, budget.CallerReceiveBuffer,
+		},
+		{"balancer", e.BalancerListener, func() http.Handler { return e.ReadyHandler(e) }, e.Budget.Probes, budget.CallerReceiveBuffer},
+		{"peers", e.PeerListener, e.PeerHandler, e.Budget.Peers, budget.PeerReceiveBuffer},
+		{"metrics", e.MetricsListener, e.metricsHandler, e.Budget.Metrics, budget.CallerReceiveBuffer},
 	}
+	var guards []*guard.Guard
 	var servers []*http.Server
 	for _, p := range parts {
 		if p.listener == nil {
 			continue
 		}
-		s := &http.Server{
-			Handler: p.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes,
+		g := &guard.Guard{
+			Name: p.use, Share: p.share, Limits: e.Budget, HeaderBytes: maxHeaderBytes, Peers: p.use == "peers",
+			Lasting: agent.Lasting, ReceiveBuffer: p.receiveBuffer, Log: e.Log,
 		}
+		guards = append(guards, g)
+		s := g.Server(p.handler())
+		s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout, idleTimeout
 		if p.use == "callers" {
 			s.BaseContext = func(net.Listener) context.Context { return calls }
 		}
@@ -222,7 +240,7 @@
 		}
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(p.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(g.Listener(p.listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				select {
 				case failed <- fmt.Errorf("serve %s: %w", p.use, err):
 				default:
@@ -230,6 +248,8 @@
 			}
 		}()
 	}
+	e.Meter.RegisterGuards(guards)
+	go guard.Run(calls, guards...)
 	return servers
 }
 
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/guard"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -61,6 +62,18 @@
 	m.set.NewGauge(linesDropped, g.LinesDropped)
 }
 
+// RegisterGuards registers the metrics of the limits for clients, by listener.
+func (m *Meter) RegisterGuards(guards []*guard.Guard) {
+	for _, g := range guards {
+		label := fmt.Sprintf("listener=%q", g.Name)
+		m.set.NewGauge(clientBytes+"{"+label+"}", func() float64 { n, _ := g.Usage(); return float64(n) })
+		m.set.NewGauge(clientConnections+"{"+label+"}", func() float64 { _, n := g.Usage(); return float64(n) })
+		for k, reason := range guard.Reasons() {
+			m.set.NewGauge(fmt.Sprintf("%s{%s,reason=%q}", clientsRefused, label, reason), func() float64 { return float64(g.Refused(k)) })
+		}
+	}
+}
+
 // TermBegan counts a term that a planner of this instance has begun.
 func (m *Meter) TermBegan() { m.set.GetOrCreateCounter(termsTotal).Inc() }
 
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -25,6 +25,9 @@
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
 		{readyNow, "gauge", "1 while the instance is ready, else 0."},
 		{linesDropped, "counter", "Log lines for which there was no space, or that couldn't be written."},
+		{clientBytes, "gauge", "Memory reserved for clients, in bytes, by listener: callers, balancer, peers, metrics."},
+		{clientConnections, "gauge", "Open connections of clients, by listener."},
+		{clientsRefused, "counter", "Clients refused or closed, by listener and reason: connections, memory, header, slow, evicted (closed for others)."},
 	}
 }
 
@@ -48,4 +51,8 @@
 	catalogVersion = "parsleybarrow_catalog_version"
 	readyNow       = "parsleybarrow_entry_ready"
 	linesDropped   = "parsleybarrow_log_lines_dropped_total"
+
+	clientBytes       = "parsleybarrow_client_bytes"
+	clientConnections = "parsleybarrow_client_connections"
+	clientsRefused    = "parsleybarrow_clients_refused_total"
 )
