Refuse calls at once while no planner can decide them

A call that the planner hadn't recorded yet counted as one that may have run.

A submission can be withdrawn until its record becomes part of a batch (cell.Options.Commit): shortly before its deadline, or when the term ends, it is withdrawn and refused as not run. The planner refuses a call on arrival if the messages that wait take longer than its time, handles calls by deadline and priority, and handles the end of an append before other messages. Each instance keeps a gate per cell (pkg/outage) that learns from the results of calls whether the planner is lost, behind or can't write, holds calls only while a takeover will probably end in time, and spreads Retry-After. A state that can't be read gives 503. A refusal after a lost answer counts only in a later term.

--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
+	"github.com/parsleybarrow/parsleybarrow/pkg/outage"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -39,7 +42,7 @@
 func (e *Entry) Submit(c context.Context, r sched.Route, j sched.Job) sched.Verdict {
 	j = j.WithQueue(r.Queue)
 	var v sched.Verdict
-	return e.callJobCell(c, j.ID, &v, func(x context.Context, cell int, address string) error {
+	return e.callJobCell(c, request{queue: r.Queue, id: j.ID}, &v, func(x context.Context, cell int, address string) error {
 		var err error
 		if address == "" {
 			v, err = localPlanners{e}.Submit(x, cell, j)
@@ -51,10 +54,10 @@
 }
 
 // State implements sched.Desk.
-func (e *Entry) State(c context.Context, _ sched.Route, id sched.JobID) (sched.JobState, sched.Verdict) {
+func (e *Entry) State(c context.Context, r sched.Route, id sched.JobID) (sched.JobState, sched.Verdict) {
 	var v sched.Verdict
 	var s sched.JobState
-	v = e.callJobCell(c, id, &v, func(x context.Context, cell int, address string) error {
+	v = e.callJobCell(c, request{queue: r.Queue, id: id, reads: true}, &v, func(x context.Context, cell int, address string) error {
 		var err error
 		if address == "" {
 			s, v, err = localPlanners{e}.State(x, cell, id)
@@ -67,9 +70,9 @@
 }
 
 // Cancel implements sched.Desk.
-func (e *Entry) Cancel(c context.Context, _ sched.Route, id sched.JobID) sched.Verdict {
+func (e *Entry) Cancel(c context.Context, r sched.Route, id sched.JobID) sched.Verdict {
 	var v sched.Verdict
-	return e.callJobCell(c, id, &v, func(x context.Context, cell int, address string) error {
+	return e.callJobCell(c, request{queue: r.Queue, id: id}, &v, func(x context.Context, cell int, address string) error {
 		var err error
 		if address == "" {
 			v, err = localPlanners{e}.Cancel(x, cell, id)
@@ -86,7 +89,7 @@
 	for cell := range e.directory.Cells() {
 		var n map[sched.QueueName]int
 		v := acceptedVerdict
-		v = e.callCell(c, cell, "", &v, func(x context.Context, cell int, address string) error {
+		v = e.callCell(c, cell, request{queue: r.Queue, reads: true}, &v, func(x context.Context, cell int, address string) error {
 			var err error
 			if address == "" {
 				n, err = localPlanners{e}.Pending(x, cell)
@@ -107,90 +110,194 @@
 	// plannerRetryDelay is the time between two attempts of a call. A change in
 	// the directory ends the wait early.
 	plannerRetryDelay = 60 * time.Millisecond
-	// plannerSearchLimit is how long a call that surely had no effect yet is
-	// attempted again. A takeover takes about a second.
-	plannerSearchLimit = 1800 * time.Millisecond
-	// retryAfter is the time after which a caller without a planner should retry.
+	// retryAfter is the time after which a caller should retry while this instance
+	// hasn't joined.
 	retryAfter = time.Second
+	// defaultCallTime is the time of a call without a deadline.
+	defaultCallTime = 3 * time.Second
 )
 
 // plannerCall makes one attempt of a call to the planner of a cell at the given
 // address. An empty address means that this instance is the planner.
 type plannerCall func(c context.Context, cell int, address string) error
 
+// request describes a call for the decision whether to send it.
+type request struct {
+	queue sched.Queue
+	// id is that of the job, empty for calls about a queue.
+	id sched.JobID
+	// reads is set if the call changes nothing.
+	reads bool
+}
+
 // callJobCell calls the planner of the job's cell.
-func (e *Entry) callJobCell(c context.Context, id sched.JobID, v *sched.Verdict, f plannerCall) sched.Verdict {
+func (e *Entry) callJobCell(c context.Context, q request, v *sched.Verdict, f plannerCall) sched.Verdict {
 	n := e.directory.Cells()
 	if n == 0 {
 		return sched.Verdict{Code: sched.CodeNotReady, RetryAfter: retryAfter, Reason: "not joined yet"}
 	}
-	return e.callCell(c, CellOf(string(id), n), id, v, f)
+	return e.callCell(c, CellOf(string(q.id), n), q, v, f)
 }
 
 // callCell calls the planner of a cell, which may change meanwhile, until a call is
-// answered. It returns the verdict that the call has stored in v. Without an answer
-// that is CodeUnknown if a planner may have carried out the call, else
-// CodeLogUnavailable. The job's id is used only for the log and may be empty.
-func (e *Entry) callCell(c context.Context, cell int, id sched.JobID, v *sched.Verdict, f plannerCall) sched.Verdict {
-	began := e.Clock.Now()
-	unknown := false
-	var last error
+// answered or can't be any more in its time. It returns the verdict that the call has
+// stored in v. Without an answer that is CodeUnknown if a planner may have carried out the
+// call, else CodeLogUnavailable.
+func (e *Entry) callCell(c context.Context, cell int, q request, v *sched.Verdict, f plannerCall) sched.Verdict {
+	g := e.gates.of(e, cell)
+	t := attempts{entry: e, cell: cell, request: q, began: e.Clock.Now()}
 	for c.Err() == nil {
 		changed := e.directory.Changed()
-		err := e.callOnce(c, cell, f)
-		if err == nil {
-			return *v
+		p := e.planner(cell)
+		d := g.decide(p.term, t.describe(c))
+		if d.Probe {
+			go g.probe(p)
 		}
-		last = err
-		unknown = unknown || !relay.HadNoEffect(err)
-		if moved, ok := err.(*relay.NotPlannerError); ok && moved.Known { //nolint:errorlint // never wrapped
-			e.directory.UpdatePlanner(moved.Hint)
-		}
-		if !unknown && e.Clock.Now().Sub(began) > plannerSearchLimit {
-			break
+		pause := plannerRetryDelay
+		switch d.Action {
+		case outage.Send:
+			if t.once(c, g, p, v, f) {
+				return g.withRetry(*v, t.describe(c))
+			}
+		case outage.Wait:
+			pause = d.For
+		default:
+			return t.giveUp(d)
 		}
 		select {
 		case <-changed:
-		case <-time.After(plannerRetryDelay):
+		case <-time.After(pause):
 		case <-c.Done():
 		}
 	}
-	e.Log.Info("callFailed", zap.String("job", string(id)), zap.Int("cell", cell), zap.Bool("unknown", unknown), zap.Error(last),
-		zap.Duration("after", e.Clock.Now().Sub(began)))
-	if unknown {
-		return sched.Verdict{Code: sched.CodeUnknown, Reason: "the planner did not answer"}
-	}
-	return sched.Verdict{Code: sched.CodeLogUnavailable, RetryAfter: retryAfter, Reason: "no planner can be reached"}
+	return t.giveUp(outage.Verdict{Why: "the planner did not answer in time", RetryAfter: g.retryAfter(t.describe(c))})
+}
+
+// target is the planner of a cell as far as this instance knows.
+type target struct {
+	term  sched.Offset // 0 if none is known
+	local *lead.Leader
+	// address is empty if this instance plans the cell, or no other is known to.
+	address string
 }
 
-// callOnce calls the planner that the directory names now. The call is cancelled
-// when the directory learns of another term.
-func (e *Entry) callOnce(c context.Context, cell int, f plannerCall) error {
-	if e.lead(cell) != nil {
-		return f(c, cell, "")
+// planner returns the planner that calls for the cell are sent to.
+func (e *Entry) planner(cell int) target {
+	if l := e.lead(cell); l != nil {
+		return target{term: l.Number(), local: l}
 	}
 	p, known := e.directory.Planner(cell)
 	if !known || p.ID == e.Self.ID {
-		return &relay.NotPlannerError{}
+		return target{term: p.Term}
 	}
+	return target{term: p.Term, address: p.Address}
+}
+
+// attempts are the attempts of one call.
+type attempts struct {
+	entry   *Entry
+	cell    int
+	request request
+	began   time.Time
+	// unknown is set if a planner may have carried out the call, and unknownTerm is then
+	// the newest term in which one may.
+	unknown     bool
+	unknownTerm sched.Offset
+	last        error
+}
+
+// describe returns the call for a decision.
+func (t *attempts) describe(c context.Context) outage.Call {
+	now := t.entry.Clock.Now()
+	left := defaultCallTime - now.Sub(t.began)
+	if deadline, set := c.Deadline(); set {
+		left = time.Until(deadline)
+	}
+	return outage.Call{
+		Left: left, Priority: t.request.queue.Priority, Waited: now.Sub(t.began), MayHaveRun: t.unknown,
+	}
+}
+
+// once makes one attempt and reports whether v is the verdict about the call.
+func (t *attempts) once(c context.Context, g *cellGate, p target, v *sched.Verdict, f plannerCall) bool {
 	x, cancel := context.WithCancel(c)
 	defer cancel()
-	go e.cancelOnNewTerm(x, cancel, cell, p.Term)
-	return f(x, cell, p.Address)
+	sent := g.sent()
+	go t.watch(x, cancel, g, p)
+	err := t.entry.callOnce(x, t.cell, p, f)
+	if err == nil {
+		g.answered(sent, *v, t.request.reads)
+		return t.settles(p.term, *v)
+	}
+	t.last = err
+	if !t.request.reads && !relay.HadNoEffect(err) {
+		t.unknown, t.unknownTerm = true, max(t.unknownTerm, p.term)
+	}
+	var moved *relay.NotPlannerError
+	if errors.As(err, &moved) && moved.Known {
+		t.entry.directory.UpdatePlanner(moved.Hint)
+	}
+	g.failed(c, p, err)
+	return false
+}
+
+// settles reports whether a verdict of the term's planner tells the outcome of the whole
+// call. A refusal doesn't after an attempt without an answer in the same term, which may
+// still be on its way to the planner, nor does one that was given without a look at the
+// records.
+func (t *attempts) settles(term sched.Offset, v sched.Verdict) bool {
+	switch {
+	case !t.unknown || v.Code.Outcome() != sched.OutcomeRefusedNotRun || v.RetryAfter == 0:
+		return true
+	case v.Code == sched.CodeDeadlineTooShort:
+		return false
+	}
+	return term > t.unknownTerm
+}
+
+// giveUp returns the verdict about a call without an answer.
+func (t *attempts) giveUp(d outage.Verdict) sched.Verdict {
+	e := t.entry
+	e.Log.Info("callFailed", zap.String("job", string(t.request.id)), zap.Int("cell", t.cell), zap.Bool("unknown", t.unknown),
+		zap.Error(t.last), zap.Duration("after", e.Clock.Now().Sub(t.began)), zap.String("why", d.Why),
+		zap.Duration("retryAfter", d.RetryAfter))
+	if t.unknown {
+		return sched.Verdict{Code: sched.CodeUnknown, Reason: d.Why}
+	}
+	return sched.Verdict{Code: sched.CodeLogUnavailable, RetryAfter: d.RetryAfter, Reason: d.Why}
 }
 
-// cancelOnNewTerm calls cancel when the directory names another term of the cell.
-func (e *Entry) cancelOnNewTerm(x context.Context, cancel context.CancelFunc, cell int, term sched.Offset) {
+// watchInterval is the interval at which it is checked whether an attempt is still worth
+// waiting for.
+const watchInterval = 100 * time.Millisecond
+
+// watch cancels an attempt when the directory names another term of the cell, or the planner
+// is lost and no other will answer in time.
+func (t *attempts) watch(x context.Context, cancel context.CancelFunc, g *cellGate, p target) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
 	for {
-		changed := e.directory.Changed()
-		if p, _ := e.directory.Planner(cell); p.Term != term {
+		changed := t.entry.directory.Changed()
+		if q, _ := t.entry.directory.Planner(t.cell); p.local == nil && q.Term != p.term || g.hopeless(t.describe(x)) {
 			cancel()
 			return
 		}
+		if g.probeDue() {
+			go g.probe(p)
+		}
 		select {
 		case <-changed:
+		case <-tick.C:
 		case <-x.Done():
 			return
 		}
 	}
 }
+
+// callOnce makes one attempt of a call to the planner.
+func (e *Entry) callOnce(c context.Context, cell int, p target, f plannerCall) error {
+	if p.local == nil && p.address == "" {
+		return &relay.NotPlannerError{}
+	}
+	return f(c, cell, p.address)
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -74,6 +74,7 @@
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
 	settings    atomic.Pointer[settings]
+	gates       gates
 }
 
 // settings holds what Reload sets.
--- a/internal/process/lead/append.go
+++ b/internal/process/lead/append.go
@@ -28,7 +28,7 @@
 			if err != nil {
 				return l.ended(err)
 			}
-			l.post(workAppended, func() { l.planner.Appended(l.Clock.Now(), sent) })
+			l.postUrgent(workAppended, func() { l.planner.Appended(l.Clock.Now(), sent) })
 			// Records that arise during the sleep go into the next batch.
 			if l.Clock.Sleep(c, minAppendInterval-l.Clock.Now().Sub(sent)) != nil {
 				return l.resign()
@@ -38,7 +38,7 @@
 			if err != nil {
 				return l.ended(err)
 			}
-			l.post(workAppended, func() { l.planner.Proven(sent) })
+			l.postUrgent(workAppended, func() { l.planner.Proven(sent) })
 		case t := <-l.supersededBy:
 			return &SupersededError{l.Cell, t}
 		case err := <-l.failure:
@@ -206,7 +206,7 @@
 func (l *Leader) checkOverdue(since time.Time) {
 	span := l.Clock.Now().Sub(since)
 	if span >= max(outageTimeout, outageFactor*l.meanAppendTime) {
-		l.post(workAppended, func() { l.planner.StoreUnavailable(span) })
+		l.postUrgent(workAppended, func() { l.planner.StoreUnavailable(span) })
 	}
 	if span < l.suspectAfter() || l.OnAppendOverdue == nil || !l.suspecting.CompareAndSwap(false, true) {
 		return
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -105,50 +105,18 @@
 	l.post(workAdvised, func() { l.planner.Advised(l.Clock.Now(), r) })
 }
 
-// Submit passes a job to the planner and waits until the job is recorded or
-// refused. After an error other than ErrNotPlanner the job may have been recorded.
-func (l *Leader) Submit(c context.Context, j sched.Job) (sched.Verdict, error) {
-	return l.awaitVerdict(c, workSubmit, func(t cell.Ticket) { l.planner.Submit(l.Clock.Now(), t, j) })
-}
-
-// Cancel cancels a job and waits until that is recorded or refused. After an error
-// other than ErrNotPlanner the job may have been cancelled.
-func (l *Leader) Cancel(c context.Context, id sched.JobID) (sched.Verdict, error) {
-	return l.awaitVerdict(c, workCancel, func(t cell.Ticket) { l.planner.Cancel(l.Clock.Now(), t, id) })
-}
-
-func (l *Leader) awaitVerdict(c context.Context, kind workKind, f func(cell.Ticket)) (sched.Verdict, error) {
-	v := make(chan sched.Verdict, 1)
-	err := l.ask(c, kind, func() {
-		l.ticket++
-		l.tickets[l.ticket] = v
-		f(l.ticket)
-	})
-	if err != nil {
-		return sched.Verdict{}, err
-	}
-	select {
-	case x := <-v:
-		return x, nil
-	case <-l.stopped:
-		return sched.Verdict{}, ErrTermEnded
-	case <-c.Done():
-		return sched.Verdict{}, c.Err()
-	}
-}
-
 // State returns the durable state of a job, 0 if there is no such job, and why it has
 // failed. The error is ErrNotPlanner if another planner may have a newer state.
 func (l *Leader) State(c context.Context, id sched.JobID) (sched.JobState, sched.JobFailure, error) {
 	var s sched.JobState
 	var f sched.JobFailure
 	var sure bool
-	err := l.ask(c, workState, func() {
+	err := l.ask(c, workState, readPriority, func() {
 		s, sure = l.planner.State(l.Clock.Now(), id)
 		f = l.planner.Failure(id)
 	})
 	if err != nil {
-		return 0, 0, err // the planner may still write the result
+		return 0, 0, err
 	}
 	if !sure {
 		return 0, f, ErrNotPlanner
@@ -161,7 +129,7 @@
 func (l *Leader) Pending(c context.Context) (map[sched.QueueName]int, error) {
 	var out map[sched.QueueName]int
 	var sure bool
-	err := l.ask(c, workPending, func() {
+	err := l.ask(c, workPending, readPriority, func() {
 		var waiting map[sched.QueueName]int
 		waiting, sure = l.planner.Pending(l.Clock.Now())
 		out = maps.Clone(waiting)
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -64,7 +64,7 @@
 	termRecord     []byte
 	appends        chan []sched.KeyedRecord
 	provenAt       atomic.Int64 // when the last proof from the store was requested, in Unix nanoseconds
-	tickets        map[cell.Ticket]chan sched.Verdict
+	tickets        map[cell.Ticket]*call
 	ticket         cell.Ticket
 	stopped        chan struct{}
 	finished       atomic.Bool
@@ -87,6 +87,11 @@
 	retryRequested chan struct{}
 	begunAt        time.Time
 	lag            lag
+	// line holds the calls that wait for the planner's actor, and urgent what it does before
+	// them. backlog estimates how long a message waits.
+	line    line
+	urgent  urgent
+	backlog backlog
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
 	reportedStats cell.Stats
 	reportedAt    time.Time
@@ -132,14 +137,14 @@
 	work, stop := context.WithCancel(context.WithoutCancel(c))
 	defer stop()
 	l.callContext = work
-	l.Options.Term, l.Options.Log = l.termNumber, l.Log
+	l.Options.Term, l.Options.Log, l.Options.Commit = l.termNumber, l.Log, l.commit
 	if l.Options.AdviceLine == nil {
 		l.Options.AdviceLine = &turns.Line{}
 	}
 	if l.planner, err = l.newPlanner(restored); err != nil {
 		return l.ended(err)
 	}
-	l.tickets = map[cell.Ticket]chan sched.Verdict{}
+	l.tickets = map[cell.Ticket]*call{}
 	l.begunAt = l.Clock.Now()
 	l.work, l.processorTime = busy.New(l.begunAt), l.readProcessorTime()
 	l.appends, l.stopped = make(chan []sched.KeyedRecord, 1), make(chan struct{})
@@ -250,13 +255,18 @@
 	if l.failed.Load() {
 		return
 	}
+	begun := l.Clock.Now()
 	defer func() {
 		l.handled.Add(1)
 		if r := recover(); r != nil {
 			l.fail(l.plannerFailed(r))
 		}
+		l.backlog.handled(l.Clock.Now().Sub(begun))
 	}()
-	waited := l.Clock.Now().Sub(m.postedAt)
+	for u, more := l.urgent.take(); more; u, more = l.urgent.take() {
+		l.measure(u.kind, u.run)
+	}
+	waited := begun.Sub(m.postedAt)
 	l.work.Waited(waited)
 	l.planner.SetDelay(waited)
 	before := l.planner.Stats()
@@ -279,31 +289,15 @@
 
 // post runs f in the planner's actor, without waiting for it.
 func (l *Leader) post(kind workKind, f func()) {
+	l.backlog.posted()
 	l.system.Root.Send(l.pid, message{kind, l.Clock.Now(), f})
 }
 
-// ask runs f in the planner's actor and waits until it has returned. With ErrNotPlanner
-// f was not run; after any other error it may have run or may still run.
-func (l *Leader) ask(c context.Context, kind workKind, f func()) error {
-	if l.finished.Load() {
-		return ErrNotPlanner
-	}
-	done := make(chan struct{})
-	l.post(kind, func() {
-		defer close(done)
-		if c.Err() != nil && kind != workCancel {
-			return // nobody waits for it any more
-		}
-		f()
-	})
-	select {
-	case <-done:
-		return nil
-	case <-l.stopped:
-		return ErrTermEnded
-	case <-c.Done():
-		return c.Err()
-	}
+// postUrgent runs f in the planner's actor after the message that it is handling, without
+// waiting for it. Urgent functions run in the order in which they were posted.
+func (l *Leader) postUrgent(kind workKind, f func()) {
+	l.urgent.put(message{kind: kind, run: f})
+	l.post(kind, func() {}) // f runs at its turn at the latest
 }
 
 // ticker has the planner's actor call Tick, and ends the term if the actor is stuck,
@@ -373,8 +367,8 @@
 		}
 	}
 	for _, r := range e.Replies {
-		if t := l.tickets[r.Ticket]; t != nil {
-			t <- r.Verdict
+		if x := l.tickets[r.Ticket]; x != nil {
+			x.verdict <- r.Verdict
 			delete(l.tickets, r.Ticket)
 		}
 	}
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -71,6 +71,7 @@
 	if p.inFlight != nil {
 		return
 	}
+	p.dropWithdrawn()
 	if len(p.dirtyJobs) == 0 && len(p.expiredJobs) == 0 {
 		// Ends that changed no job need no record.
 		for _, n := range p.unacknowledgedEnds() {
--- a/pkg/cell/call.go
+++ b/pkg/cell/call.go
@@ -18,7 +18,7 @@
 // Submit accepts a job. The caller with the ticket gets the reply once the job
 // is durable. A job with a known id is acknowledged and not added again.
 func (p *Planner) Submit(now time.Time, t Ticket, s sched.Job) {
-	if j := p.jobs[s.ID]; j != nil {
+	if j := p.jobs[s.ID]; j != nil && p.keep(j) {
 		p.replyRecorded(j, t)
 		return
 	}
@@ -34,7 +34,7 @@
 		p.refuseForAdvice(now, t, s, v, wait, limit)
 		return
 	}
-	j := &job{Job: jobs.New(s.WithSubmittedAt(now)), unrecorded: true, stepLoads: map[int]*share.Load{}}
+	j := &job{Job: jobs.New(s.WithSubmittedAt(now)), unrecorded: true, ticket: t, stepLoads: map[int]*share.Load{}}
 	j.pendingReplies = []Reply{{t, acceptedVerdict}}
 	p.jobs[s.ID] = j
 	p.noteAdvised(j)
@@ -81,7 +81,7 @@
 // gets the reply once that is durable. The runs of the job are stopped then.
 func (p *Planner) Cancel(now time.Time, t Ticket, id sched.JobID) {
 	j := p.jobs[id]
-	if j == nil {
+	if j == nil || !p.keep(j) {
 		// Another planner may have taken over and accepted the job; the next
 		// proof rules that out.
 		p.unprovenReplies = append(p.unprovenReplies, unprovenReply{now, Reply{t, unknownJobVerdict}})
@@ -124,18 +124,7 @@
 			rest = append(rest, j)
 			continue
 		}
-		p.countStarted(j)
-		delete(p.jobs, j.ID)
-		delete(p.scheduledJobs, j.ID)
-		j.State = sched.JobCancelled
-		for _, s := range j.pendingStarts {
-			if h := p.workers[s.worker]; h != nil {
-				h.Remove(s.key)
-			}
-		}
-		for _, r := range j.pendingReplies {
-			p.refuse(r.Ticket, j.Job.Job, p.outageVerdict())
-		}
+		p.dropUnrecorded(j, p.outageVerdict())
 	}
 	clear(p.dirtyJobs[len(rest):])
 	p.dirtyJobs = rest
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -51,7 +51,12 @@
 	// RecordLimit and BatchLimit are the sizes of the largest record and of the largest
 	// batch that the store takes, in bytes, 0 if there is no limit.
 	RecordLimit, BatchLimit int
-	Log                     *zap.Logger
+	// Commit is called once for each new job, before its record becomes part of a batch or
+	// another caller is told of it. If it returns false, the caller with the ticket has been
+	// told that the job isn't accepted, and the planner drops it. Without Commit every job
+	// is kept.
+	Commit func(Ticket) bool
+	Log    *zap.Logger
 }
 
 // Planner plans one cell. It isn't safe for concurrent use.
@@ -164,6 +169,10 @@
 	// unrecorded is set until the record with the submitted job is part of a
 	// batch.
 	unrecorded bool
+	// ticket is that of the submission, and committed is set once Options.Commit has
+	// returned true for it. Both are used only while the job is unrecorded.
+	ticket    Ticket
+	committed bool
 	// durableState is the newest state that is durable, 0 before the first.
 	durableState sched.JobState
 	// started is set once a run of the job has started, or the job has ended
