Copy the attempt that is watched

The watch of an attempt read whether an earlier one may have run while the next was recorded, which the race detector found in the new tests of refusals. It gets a copy. The tests set the fake planners before the first call.

go test -race -count=2 ./internal/process/entry passes.

--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -223,7 +223,8 @@
 	x, cancel := context.WithCancel(c)
 	defer cancel()
 	sent := g.sent()
-	go t.watch(x, cancel, g, p)
+	watched := *t
+	go watched.watch(x, cancel, g, p)
 	err := t.entry.callOnce(x, t.cell, p, f)
 	if err == nil {
 		g.answered(sent, *v, t.request.reads)
--- a/internal/process/entry/refuse_test.go
+++ b/internal/process/entry/refuse_test.go
@@ -103,11 +103,11 @@
 
 // begin has the planner begin a term after the time.
 func (r *refuseRig) begin(after time.Duration, term sched.Offset, p *fakePlanner) {
+	address := string(rune('0' + term))
+	if p != nil {
+		r.network[address] = p
+	}
 	time.AfterFunc(after, func() {
-		address := string(rune('0' + term))
-		if p != nil {
-			r.network[address] = p
-		}
 		r.directory.UpdatePlanner(peers.Planner{Term: term, ID: "entry-" + sched.InstanceID(address), Address: address})
 	})
 	if after == 0 {
@@ -216,7 +216,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				i := is.New(t)
 				r := newRefuseRig(t)
-				p := &fakePlanner{answer: row.answer}
+				var answers atomic.Bool
+				p := &fakePlanner{answer: func(c context.Context) (sched.Verdict, error) {
+					if answers.Load() {
+						return accept(c)
+					}
+					return row.answer(c)
+				}}
 				r.begin(0, 1, p)
 				_, _ = r.submit()
 				sent := p.calls.Load()
@@ -228,7 +234,7 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 				i.True(p.calls.Load()-sent <= 20)
-				p.answer = accept
+				answers.Store(true)
 				time.Sleep(200 * time.Millisecond)
 				_, _ = r.submit() // finds out that the planner answers
 				time.Sleep(1100 * time.Millisecond)
