--- a/pkg/outage/gate.go
+++ b/pkg/outage/gate.go
@@ -6,9 +6,12 @@
 	// TakeoverTime is the usual time from the loss of a planner until the next one answers:
 	// a second without a record, and the read of the partition.
 	TakeoverTime = 1200 * time.Millisecond
-	// TakeoverLimit is how long after the loss a takeover is still expected to end soon.
-	// After that calls aren't held any more, those that may have run after outcomeLimit.
-	TakeoverLimit = 1800 * time.Millisecond
+	// From overdueAfter on, counted from the loss, a takeover isn't expected to end soon:
+	// calls that arrive are refused, and those that are held are refused at random times up
+	// to TakeoverLimit. If they were refused together, they would return together, since
+	// callers read whole seconds. Those that may have run are held up to outcomeLimit.
+	overdueAfter  = 1600 * time.Millisecond
+	TakeoverLimit = 2400 * time.Millisecond
 	outcomeLimit  = 2500 * time.Millisecond
 	// lateTakeoverStep is the expected rest of a takeover that takes longer than usual.
 	lateTakeoverStep = 300 * time.Millisecond
@@ -227,13 +230,28 @@
 // for the call. A call that may have run waits longer, since the next planner's records
 // tell its outcome.
 func (g *Gate) worthWaiting(now time.Time, c Call, inTime bool) bool {
-	limit := TakeoverLimit
+	gone := now.Sub(g.lostAt)
 	if c.MayHaveRun {
-		limit = outcomeLimit
+		return inTime && gone < outcomeLimit
 	}
-	return inTime && now.Sub(g.lostAt) < limit
+	if !inTime || gone >= TakeoverLimit || gone-c.Waited >= overdueAfter {
+		return false
+	}
+	// The call is decided about every probeInterval, so that this chance spreads the refusals
+	// evenly.
+	return gone < overdueAfter || g.random() >= float64(probeInterval)/float64(TakeoverLimit-gone)
+}
+
+func (g *Gate) random() float64 {
+	if g.Random == nil {
+		return middle
+	}
+	return g.Random()
 }
 
+// middle stands for random numbers where none are given.
+const middle = 0.5
+
 // expectedEnd returns the time until the planner probably decides new calls.
 func (g *Gate) expectedEnd(now time.Time) time.Duration {
 	switch {
--- a/pkg/outage/retry.go
+++ b/pkg/outage/retry.go
@@ -33,11 +33,7 @@
 	end := min(max(g.untilBack(now), minRetry), maxRetry)
 	window := g.returns.refuse(now, end)
 	late := float64(min(max(c.Priority, 0), priorities-1)) / (priorities - 1) * (1 - min(1, float64(c.Waited)/float64(longWait)))
-	spread := 0.5
-	if g.Random != nil {
-		spread = g.Random()
-	}
-	return end + time.Duration(float64(window)*(priorityPart*late+(1-priorityPart)*spread))
+	return end + time.Duration(float64(window)*(priorityPart*late+(1-priorityPart)*g.random()))
 }
 
 // untilBack returns the time until returning callers will probably be served. A takeover
