--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -92,6 +92,8 @@
 	line    line
 	urgent  urgent
 	backlog backlog
+	// tickWaiting is set while a tick waits for the planner's actor.
+	tickWaiting atomic.Bool
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
 	reportedStats cell.Stats
 	reportedAt    time.Time
@@ -314,9 +316,13 @@
 			l.Log.Error("plannerStuck", zap.Duration("after", d), zap.String("stacks", actorStacks()))
 			l.fail(fmt.Errorf("%w: no message handled for %v", ErrPlannerFailed, d))
 		}
+		if !l.tickWaiting.CompareAndSwap(false, true) {
+			continue // a planner that is behind would only fall further behind
+		}
 		l.post(workTick, func() {
+			l.tickWaiting.Store(false)
 			l.planner.Tick(l.Clock.Now())
-			l.report(now, statsInterval)
+			l.report(l.Clock.Now(), statsInterval)
 		})
 	}
 }
