--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -162,7 +162,7 @@
 		case outage.Wait:
 			pause = d.For
 		default:
-			return t.giveUp(d)
+			return t.giveUp(g, d)
 		}
 		select {
 		case <-changed:
@@ -170,7 +170,7 @@
 		case <-c.Done():
 		}
 	}
-	return t.giveUp(outage.Verdict{Why: "the planner did not answer in time", RetryAfter: g.retryAfter(t.describe(c))})
+	return t.giveUp(g, outage.Verdict{RetryAfter: g.retryAfter(t.describe(c))})
 }
 
 // target is the planner of a cell as far as this instance knows.
@@ -257,15 +257,16 @@
 }
 
 // giveUp returns the verdict about a call without an answer.
-func (t *attempts) giveUp(d outage.Verdict) sched.Verdict {
+func (t *attempts) giveUp(g *cellGate, d outage.Verdict) sched.Verdict {
 	e := t.entry
 	e.Log.Info("callFailed", zap.String("job", string(t.request.id)), zap.Int("cell", t.cell), zap.Bool("unknown", t.unknown),
-		zap.Error(t.last), zap.Duration("after", e.Clock.Now().Sub(t.began)), zap.String("why", d.Why),
+		zap.Error(t.last), zap.Duration("after", e.Clock.Now().Sub(t.began)), zap.String("state", string(d.State)),
 		zap.Duration("retryAfter", d.RetryAfter))
+	g.gaveUp(d.State, t.unknown)
 	if t.unknown {
-		return sched.Verdict{Code: sched.CodeUnknown, Reason: d.Why}
+		return sched.Verdict{Code: sched.CodeUnknown, Reason: d.State.Reason()}
 	}
-	return sched.Verdict{Code: sched.CodeLogUnavailable, RetryAfter: d.RetryAfter, Reason: d.Why}
+	return sched.Verdict{Code: sched.CodeLogUnavailable, RetryAfter: d.RetryAfter, Reason: d.State.Reason()}
 }
 
 // watchInterval is the interval at which it is checked whether an attempt is still worth
--- a/internal/process/entry/gate.go
+++ b/internal/process/entry/gate.go
@@ -46,12 +46,12 @@
 	entry *Entry
 	cell  int
 
-	mu       sync.Mutex
-	gate     outage.Gate
-	term     sched.Offset
-	impaired bool
-	since    time.Time
-	refused  int
+	mu      sync.Mutex
+	gate    outage.Gate
+	term    sched.Offset
+	state   outage.State
+	since   time.Time // when calls began to be held back
+	refused int
 }
 
 // update calls f and logs a change of state.
@@ -60,16 +60,21 @@
 	defer g.mu.Unlock()
 	now := g.entry.Clock.Now()
 	f(now)
-	why, impaired := g.gate.Impaired(now)
-	switch {
-	case impaired && !g.impaired:
-		g.since, g.refused = now, 0
-		g.entry.Log.Warn("callsHeld", zap.Int("cell", g.cell), zap.Int64("term", int64(g.term)), zap.String("why", why))
-	case !impaired && g.impaired:
-		g.entry.Log.Info("callsSent", zap.Int("cell", g.cell), zap.Int64("term", int64(g.term)), zap.Int("refused", g.refused),
-			zap.Duration("after", now.Sub(g.since)))
+	state := g.gate.State(now)
+	switch state {
+	case g.state:
+		return
+	case outage.Answering:
+		g.entry.Log.Info("plannerAnswers", zap.Int("cell", g.cell), zap.Int64("term", int64(g.term)),
+			zap.Int("refused", g.refused), zap.Duration("after", now.Sub(g.since)))
+	default:
+		if g.state == outage.Answering {
+			g.since, g.refused = now, 0
+		}
+		g.entry.Log.Warn("plannerImpaired", zap.Int("cell", g.cell), zap.Int64("term", int64(g.term)),
+			zap.String("state", string(state)))
 	}
-	g.impaired = impaired
+	g.state = state
 }
 
 // decide returns what to do with a call to the planner of the term.
@@ -80,9 +85,6 @@
 			g.gate.PlannerFound(now)
 		}
 		v = g.gate.Decide(now, c)
-		if v.Action == outage.RefuseNotRun {
-			g.refused++
-		}
 	})
 	return v
 }
@@ -184,15 +186,21 @@
 func (g *cellGate) withRetry(v sched.Verdict, c outage.Call) sched.Verdict {
 	if v.Code == sched.CodeLogUnavailable || v.Code == sched.CodeDeadlineTooShort {
 		v.RetryAfter = g.retryAfter(c)
+		g.update(func(time.Time) { g.refused++ })
 	}
 	return v
 }
 
+// gaveUp counts a call that ended without the planner's verdict, in the state.
+func (g *cellGate) gaveUp(s outage.State, unknown bool) {
+	g.entry.Meter.CallGivenUp(string(s), unknown)
+	if !unknown {
+		g.update(func(time.Time) { g.refused++ })
+	}
+}
+
 // retryAfter returns when a caller that is refused should retry.
 func (g *cellGate) retryAfter(c outage.Call) (d time.Duration) {
-	g.update(func(now time.Time) {
-		g.refused++
-		d = g.gate.RetryAfter(now, c)
-	})
+	g.update(func(now time.Time) { d = g.gate.RetryAfter(now, c) })
 	return d
 }
--- a/internal/process/entry/refuse_test.go
+++ b/internal/process/entry/refuse_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/world"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/meter"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
 	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
@@ -95,6 +96,7 @@
 	w.Begin()
 	n := fakeNetwork{}
 	e := &Entry{Self: peers.Instance{ID: "entry-0"}, Clock: clock.System{}, Log: zap.NewNop()}
+	e.Meter = meter.New(e.Clock)
 	e.relay = &relay.Client{HTTP: &http.Client{Transport: n}}
 	e.directory = &peers.Directory{Self: e.Self, Store: w.NewClient("entry-0", world.Path{}, world.Path{}), Clock: e.Clock, Log: e.Log}
 	is.New(t).NoErr(e.directory.Register(t.Context()))
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -61,6 +61,19 @@
 	m.set.NewGauge(linesDropped, g.LinesDropped)
 }
 
+// CallGivenUp counts a call that ended without the verdict of a planner, by the state of the
+// planner and whether the outcome is unknown. The call was refused as not run otherwise.
+func (m *Meter) CallGivenUp(state string, unknown bool) {
+	outcome := "refused"
+	if unknown {
+		outcome = "unknown"
+	}
+	if state == "" {
+		state = "answering"
+	}
+	m.count(givenUpTotal, fmt.Sprintf("state=%q,outcome=%q", state, outcome))
+}
+
 // TermBegan counts a term that a planner of this instance has begun.
 func (m *Meter) TermBegan() { m.set.GetOrCreateCounter(termsTotal).Inc() }
 
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -8,6 +8,7 @@
 func Table() []Metric {
 	return []Metric{
 		{callsTotal, "counter", "Callers' requests by call (submit, state, cancel, pending) and result code."},
+		{givenUpTotal, "counter", "Callers' requests that ended without the verdict of a planner, by state of the planner (lost, pending: its append has no answer, behind, answering: the time was over) and outcome (refused, unknown)."},
 		{callSeconds, "histogram", "Time from arrival to answer, by call."},
 		{appendsTotal, "counter", "Appends to the store, by result: ok, moved, unavailable, uncertain."},
 		{appendSeconds, "histogram", "Time of an append."},
@@ -31,6 +32,7 @@
 // Names of metrics.
 const (
 	callsTotal     = "parsleybarrow_calls_total"
+	givenUpTotal   = "parsleybarrow_calls_given_up_total"
 	callSeconds    = "parsleybarrow_call_duration_seconds"
 	appendsTotal   = "parsleybarrow_store_appends_total"
 	appendSeconds  = "parsleybarrow_store_append_duration_seconds"
--- a/pkg/outage/gate.go
+++ b/pkg/outage/gate.go
@@ -3,15 +3,15 @@
 import "time"
 
 const (
-	// TakeoverTime is the usual time from the loss of a planner until the next one answers:
+	// takeoverTime is the usual time from the loss of a planner until the next one answers:
 	// a second without a record, and the read of the partition.
-	TakeoverTime = 1200 * time.Millisecond
+	takeoverTime = 1200 * time.Millisecond
 	// From overdueAfter on, counted from the loss, a takeover isn't expected to end soon:
 	// calls that arrive are refused, and those that are held are refused at random times up
-	// to TakeoverLimit. If they were refused together, they would return together, since
+	// to takeoverLimit. If they were refused together, they would return together, since
 	// callers read whole seconds. Those that may have run are held up to outcomeLimit.
 	overdueAfter  = 1600 * time.Millisecond
-	TakeoverLimit = 2400 * time.Millisecond
+	takeoverLimit = 2400 * time.Millisecond
 	outcomeLimit  = 2500 * time.Millisecond
 	// lateTakeoverStep is the expected rest of a takeover that takes longer than usual.
 	lateTakeoverStep = 300 * time.Millisecond
@@ -65,10 +65,35 @@
 	Probe bool
 	// RetryAfter is when a refused caller should retry.
 	RetryAfter time.Duration
-	// Why names the state of the planner for logs, empty if the call is sent.
-	Why string
+	// State is that of the planner.
+	State State
 }
 
+// State is the state of a planner as far as a gate knows.
+type State string
+
+// States, as metrics and logs name them.
+const (
+	// Answering: calls are sent.
+	Answering State = ""
+	// Lost: the planner can't be reached, or answers nothing.
+	Lost State = "lost"
+	// Pending: the planner answers, and its append has had no answer for too long.
+	Pending State = "pending"
+	// Behind: calls would wait behind others for long.
+	Behind State = "behind"
+)
+
+var reasons = map[State]string{
+	Answering: "the planner did not answer in time",
+	Lost:      "the planner can't be reached",
+	Pending:   "the planner can't write to the store",
+	Behind:    "the planner is behind",
+}
+
+// Reason returns the reason for which calls aren't decided, for callers.
+func (s State) Reason() string { return reasons[s] }
+
 // Gate knows the state of one cell's planner from the results of calls. The zero value
 // stands for a planner that answers. It isn't safe for concurrent use.
 type Gate struct {
@@ -140,8 +165,8 @@
 // AppendDone records that the planner can write.
 func (g *Gate) AppendDone() { g.pendingSince = time.Time{} }
 
-// Impaired reports whether calls are held back now, and why.
-func (g *Gate) Impaired(now time.Time) (why string, impaired bool) {
+// State returns the state of the planner.
+func (g *Gate) State(now time.Time) State {
 	if g.lostAt.IsZero() {
 		if since, silent := g.sent.silent(now); silent {
 			g.lostAt = since
@@ -149,13 +174,13 @@
 	}
 	switch {
 	case !g.lostAt.IsZero():
-		return "the planner can't be reached", true
+		return Lost
 	case !g.pendingSince.IsZero():
-		return "the planner's append is pending", true
+		return Pending
 	case g.backlog(now) > 0:
-		return "the planner is behind", true
+		return Behind
 	}
-	return "", false
+	return Answering
 }
 
 // backlog returns how long a call would wait behind others.
@@ -168,22 +193,22 @@
 
 // Decide returns what to do with a call.
 func (g *Gate) Decide(now time.Time, c Call) Verdict {
-	why, impaired := g.Impaired(now)
-	if !impaired {
+	state := g.State(now)
+	if state == Answering {
 		return Verdict{Action: Send}
 	}
 	probe := g.probeDue(now)
 	inTime := g.expectedEnd(now)+answerTime <= c.Left
-	v := Verdict{For: min(probeInterval, max(c.Left, 0)), Why: why}
-	switch lost := !g.lostAt.IsZero(); {
-	case lost:
+	v := Verdict{For: min(probeInterval, max(c.Left, 0)), State: state}
+	switch {
+	case state == Lost:
 		// The next call that is sent might get no answer. Others find out whether the planner
 		// is back.
 		v.Action, v.Probe = Wait, probe
 		if !g.worthWaiting(now, c, inTime) {
 			v.Action = hopeless(c)
 		}
-	case probe && c.Left > answerTime && (inTime || !c.MayHaveRun) || inTime && g.pendingSince.IsZero():
+	case probe && c.Left > answerTime && (inTime || !c.MayHaveRun) || inTime && state == Behind:
 		v.Action = Send
 	case inTime && c.MayHaveRun:
 		v.Action = Wait
@@ -199,8 +224,7 @@
 // ProbeDue reports whether the planner counts as lost and it is time to check again whether
 // it answers.
 func (g *Gate) ProbeDue(now time.Time) bool {
-	_, impaired := g.Impaired(now)
-	return impaired && !g.lostAt.IsZero() && g.probeDue(now)
+	return g.State(now) == Lost && g.probeDue(now)
 }
 
 func (g *Gate) probeDue(now time.Time) bool {
@@ -214,9 +238,8 @@
 // Hopeless reports whether a call that was sent isn't worth waiting for: its planner is
 // lost, and the takeover won't end in time.
 func (g *Gate) Hopeless(now time.Time, c Call) bool {
-	_, impaired := g.Impaired(now)
 	c.MayHaveRun = true
-	return impaired && !g.lostAt.IsZero() && !g.worthWaiting(now, c, true)
+	return g.State(now) == Lost && !g.worthWaiting(now, c, true)
 }
 
 func hopeless(c Call) Action {
@@ -234,12 +257,12 @@
 	if c.MayHaveRun {
 		return inTime && gone < outcomeLimit
 	}
-	if !inTime || gone >= TakeoverLimit || gone-c.Waited >= overdueAfter {
+	if !inTime || gone >= takeoverLimit || gone-c.Waited >= overdueAfter {
 		return false
 	}
 	// The call is decided about every probeInterval, so that this chance spreads the refusals
 	// evenly.
-	return gone < overdueAfter || g.random() >= float64(probeInterval)/float64(TakeoverLimit-gone)
+	return gone < overdueAfter || g.random() >= float64(probeInterval)/float64(takeoverLimit-gone)
 }
 
 func (g *Gate) random() float64 {
@@ -256,7 +279,7 @@
 func (g *Gate) expectedEnd(now time.Time) time.Duration {
 	switch {
 	case !g.lostAt.IsZero():
-		return max(TakeoverTime-now.Sub(g.lostAt), lateTakeoverStep)
+		return max(takeoverTime-now.Sub(g.lostAt), lateTakeoverStep)
 	case !g.pendingSince.IsZero():
 		// An outage has no usual duration; it is expected to last as long again.
 		return max(now.Sub(g.pendingSince), minRetry)
--- a/pkg/outage/retry.go
+++ b/pkg/outage/retry.go
@@ -39,7 +39,7 @@
 // untilBack returns the time until returning callers will probably be served. A takeover
 // that is overdue may take as long again, as may an outage of the store.
 func (g *Gate) untilBack(now time.Time) time.Duration {
-	if gone := now.Sub(g.lostAt); !g.lostAt.IsZero() && gone > TakeoverTime {
+	if gone := now.Sub(g.lostAt); !g.lostAt.IsZero() && gone > takeoverTime {
 		return gone / 2
 	}
 	return g.expectedEnd(now)
