Hold room that becomes free for large, wide and lasting tasks

Cause: small tasks take each bit of room that becomes free on full workers. Large tasks and gangs start only once the small ones stop coming, and lasting tasks wait for one of a few reservations, which begin after 3 s.

Metrics count waits by size, slips and what is held free.

--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -26,6 +26,7 @@
 type entryCmd struct {
 	WorkersPerCell int    `default:"1024" min:"1" max:"10000" help:"Workers for which one cell is laid out, at the first start of the system."`
 	AgentsFrom     int    `default:"128" min:"0" max:"10000" help:"Workers of a cell from which on other instances carry out its planner's orders; 0 for never."`
+	LookAhead      bool   `help:"Hold room that becomes free for large, wide and lasting tasks that wait."`
 	LogLevel       string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to log: debug, info, warn or error."`
 }
 
@@ -52,7 +53,7 @@
 	}
 	reloading, end := context.WithCancel(context.WithoutCancel(c))
 	defer end()
-	go x.reload(reloading, hangups, e.Log, s, func(n users.Settings) { e.Reload(plannerOptions(n), n.Bounds.Grace) })
+	go x.reload(reloading, hangups, e.Log, s, func(n users.Settings) { e.Reload(x.plannerOptions(n), n.Bounds.Grace) })
 	return p.runService(c, e.Log, hangup, e.Run)
 }
 
@@ -103,12 +104,13 @@
 	}
 }
 
-// plannerOptions returns the planner options that follow from the settings.
-func plannerOptions(s users.Settings) cell.Options {
+// plannerOptions returns the planner options that follow from the settings and the flags.
+func (x *entryCmd) plannerOptions(s users.Settings) cell.Options {
 	return cell.Options{
 		LeaseLimit: s.Bounds.LeaseLimit, StopLimit: s.Bounds.StopLimit, StatusKept: s.Bounds.StatusKept,
 		Early: s.Bounds.Early, GangLimit: s.Bounds.GangLimit, Restore: s.Bounds.Restore, FarFactor: s.Bounds.FarFactor,
 		AwayNotice: s.Bounds.AwayNotice, RecordLimit: s.Quota.RecordBytes, BatchLimit: s.Quota.CallBytes,
+		LookAhead: x.LookAhead,
 	}
 }
 
@@ -133,7 +135,7 @@
 		WorkersPerCell: x.WorkersPerCell,
 		AgentsFrom:     x.AgentsFrom,
 	}
-	e.Reload(plannerOptions(s), s.Bounds.Grace)
+	e.Reload(x.plannerOptions(s), s.Bounds.Grace)
 	parts := []struct {
 		use, address string
 		to           *net.Listener
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -89,10 +89,26 @@
 		{"asked", before.Asked, after.Asked},
 		{"adviceFailed", before.AdviceFailed, after.AdviceFailed},
 		{"lateTickets", before.LateTickets, after.LateTickets},
+		{"planned", before.Planned, after.Planned},
+		{"slipped", before.Slipped, after.Slipped},
 	}
 	for _, r := range rows {
 		m.set.GetOrCreateCounter(fmt.Sprintf("%s{what=%q}", plannerTotal, r.what)).Add(int(r.after - r.before))
 	}
+	for size, name := range sizeNames {
+		label := fmt.Sprintf("{size=%q}", name)
+		m.set.GetOrCreateCounter(plannerWaits + label).Add(int(after.Waits[size] - before.Waits[size]))
+		m.set.GetOrCreateFloatCounter(plannerWaited + label).Add((after.Waited[size] - before.Waited[size]).Seconds())
+	}
+	m.set.GetOrCreateFloatCounter(plannerHeldFree).Add(float64(after.HeldFree-before.HeldFree) / millisPerProcessor)
+}
+
+// millisPerProcessor converts thousandths of a processor to processors.
+const millisPerProcessor = 1000
+
+// sizeNames holds the labels of the sizes of tasks.
+var sizeNames = [cell.SizeCount]string{
+	cell.SizeSmall: "small", cell.SizeLarge: "large", cell.SizeGang: "gang", cell.SizeLasting: "lasting",
 }
 
 // AddPlannerLoad adds what the thread of a planner has done in a period to the counters of
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -16,7 +16,10 @@
 		{orderSeconds, "histogram", "Time of an order, by order. A lease may wait at the worker."},
 		{advicesTotal, "counter", "Calls of the advice service, by result: ok, unavailable, uncertain."},
 		{adviceSeconds, "histogram", "Time of a call of the advice service."},
-		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers), ratings (of a worker for the tasks of a step), asked (calls of the advice service), adviceFailed (such calls without an answer), lateTickets (tickets that had ended on arrival)."},
+		{plannerTotal, "counter", "What planners here did: accepted, refused, starts, ends, failed, lost, stops, noRoom, paces, moves, copies, heldUp (tasks that waited for 3 s though a worker had room), crashes (of workers under runs), givenUp (jobs with a task that crashes its workers), ratings (of a worker for the tasks of a step), asked (calls of the advice service), adviceFailed (such calls without an answer), lateTickets (tickets that had ended on arrival), planned (tasks that the look-ahead placement held room for), slipped (times that its plan didn't come true)."},
+		{plannerWaits, "counter", "Tasks that planners here placed, by size: small, large, gang, lasting."},
+		{plannerWaited, "counter", "Time that these tasks had waited for room."},
+		{plannerHeldFree, "counter", "Processor-seconds that the look-ahead placement held free."},
 		{plannerSeconds, "counter", "Time in which the thread of a planner here was busy, by work: the kind of message, place (of waiting tasks), flush (records) and effects (orders). Near 1 a second it is overloaded."},
 		{plannerWorks, "counter", "Messages and other works behind that time, by work."},
 		{plannerWait, "histogram", "Longest time that a message waited for that thread, once a second."},
@@ -30,22 +33,25 @@
 
 // Names of metrics.
 const (
-	callsTotal     = "parsleybarrow_calls_total"
-	callSeconds    = "parsleybarrow_call_duration_seconds"
-	appendsTotal   = "parsleybarrow_store_appends_total"
-	appendSeconds  = "parsleybarrow_store_append_duration_seconds"
-	readsTotal     = "parsleybarrow_store_reads_total"
-	ordersTotal    = "parsleybarrow_worker_orders_total"
-	orderSeconds   = "parsleybarrow_worker_order_duration_seconds"
-	advicesTotal   = "parsleybarrow_advice_calls_total"
-	adviceSeconds  = "parsleybarrow_advice_call_duration_seconds"
-	plannerTotal   = "parsleybarrow_planner_total"
-	plannerSeconds = "parsleybarrow_planner_busy_seconds_total"
-	plannerWorks   = "parsleybarrow_planner_works_total"
-	plannerWait    = "parsleybarrow_planner_longest_wait_seconds"
-	termsTotal     = "parsleybarrow_terms_total"
-	cellsPlanned   = "parsleybarrow_cells_planned"
-	catalogVersion = "parsleybarrow_catalog_version"
-	readyNow       = "parsleybarrow_entry_ready"
-	linesDropped   = "parsleybarrow_log_lines_dropped_total"
+	callsTotal      = "parsleybarrow_calls_total"
+	callSeconds     = "parsleybarrow_call_duration_seconds"
+	appendsTotal    = "parsleybarrow_store_appends_total"
+	appendSeconds   = "parsleybarrow_store_append_duration_seconds"
+	readsTotal      = "parsleybarrow_store_reads_total"
+	ordersTotal     = "parsleybarrow_worker_orders_total"
+	orderSeconds    = "parsleybarrow_worker_order_duration_seconds"
+	advicesTotal    = "parsleybarrow_advice_calls_total"
+	adviceSeconds   = "parsleybarrow_advice_call_duration_seconds"
+	plannerTotal    = "parsleybarrow_planner_total"
+	plannerSeconds  = "parsleybarrow_planner_busy_seconds_total"
+	plannerWorks    = "parsleybarrow_planner_works_total"
+	plannerWait     = "parsleybarrow_planner_longest_wait_seconds"
+	plannerWaits    = "parsleybarrow_planner_waits_total"
+	plannerWaited   = "parsleybarrow_planner_wait_seconds_total"
+	plannerHeldFree = "parsleybarrow_planner_held_free_processor_seconds_total"
+	termsTotal      = "parsleybarrow_terms_total"
+	cellsPlanned    = "parsleybarrow_cells_planned"
+	catalogVersion  = "parsleybarrow_catalog_version"
+	readyNow        = "parsleybarrow_entry_ready"
+	linesDropped    = "parsleybarrow_log_lines_dropped_total"
 )
--- a/pkg/cell/decide.go
+++ b/pkg/cell/decide.go
@@ -161,13 +161,16 @@
 	// more.
 	overdue, longOverdue bool
 	needs                sched.Resources
+	// late is the bound of the run time for the look-ahead placement. Shorter tasks may
+	// have room where others don't.
+	late time.Duration
 	// members is how many tasks must have room at the same time: all of a gang.
 	members int
 }
 
 func roomNeedOf(w *waitingStep) roomNeed {
 	s := &w.job.Steps[w.step]
-	n := roomNeed{service: w.job.Queue.Service, label: s.Label, overdue: w.overdue, longOverdue: w.longOverdue, needs: s.Counted(), members: 1}
+	n := roomNeed{service: w.job.Queue.Service, label: s.Label, overdue: w.overdue, longOverdue: w.longOverdue, needs: s.Counted(), late: w.late, members: 1}
 	switch {
 	case s.Gang:
 		n.members = s.Tasks
@@ -188,7 +191,8 @@
 func (f noRoom) covers(n roomNeed) bool {
 	for _, x := range f {
 		if x.service == n.service && x.label == n.label && x.filler == n.filler && x.image == n.image &&
-			(x.overdue || !n.overdue) && (x.longOverdue || !n.longOverdue) && x.members <= n.members && x.needs.Fits(n.needs) {
+			(x.overdue || !n.overdue) && (x.longOverdue || !n.longOverdue) && x.members <= n.members &&
+			x.late <= n.late && x.needs.Fits(n.needs) {
 			return true
 		}
 	}
@@ -279,6 +283,7 @@
 	slot.PlacedAt, slot.Incarnation = now, h.NewestIncarnation()
 	h.Add(slot)
 	p.judge.Placed(now, h.ID)
+	p.notePlaced(now, w, h)
 	p.options.Log.Debug("runPlaced", zap.Stringer("task", key.Task), zap.Int32("run", int32(n)),
 		zap.String("worker", string(h.ID)),
 		zap.String("image", slot.Step.Image), zap.Int64("processors", slot.Step.Needs.Processors),
--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -214,7 +214,8 @@
 // startCopy places a speculative copy of a task beside its slow run, if another
 // worker has room for it.
 func (p *Planner) startCopy(now time.Time, h *hosts.Host, s *hosts.Slot, j *job) {
-	w := &waitingStep{job: j, occurrence: j.Occurrences[s.Task.Occurrence], step: s.Task.Step, tasks: []int{s.Task.Index}}
+	w := &waitingStep{job: j, occurrence: j.Occurrences[s.Task.Occurrence], step: s.Task.Step, tasks: []int{s.Task.Index}, isCopy: true}
+	w.late = p.lateOf(w)
 	to := p.chooseWorker(now, w, s.Task.Index)
 	if to == nil || to == h {
 		return
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -51,7 +51,10 @@
 	// RecordLimit and BatchLimit are the sizes of the largest record and of the largest
 	// batch that the store takes, in bytes, 0 if there is no limit.
 	RecordLimit, BatchLimit int
-	Log                     *zap.Logger
+	// LookAhead is set if room that will become free is planned for the large, wide and
+	// lasting steps that wait.
+	LookAhead bool
+	Log       *zap.Logger
 }
 
 // Planner plans one cell. It isn't safe for concurrent use.
@@ -80,6 +83,11 @@
 	waitingSteps []*waitingStep
 	// reservations holds the workers that are reserved for a step.
 	reservations map[*hosts.Host]reservation
+	// ahead holds room for waiting steps instead if Options.LookAhead is set, nil otherwise.
+	ahead *lookAhead
+	// meanNeed holds the mean needs of the runs that end, as of meanNeedAt.
+	meanNeed   sched.Resources
+	meanNeedAt time.Time
 	// finalJobs are the jobs whose final state is durable, in the order in which
 	// it became so.
 	finalJobs []*job
@@ -147,12 +155,18 @@
 // heldUpDelay though a worker had room, Crashes the crashes of workers under runs, GivenUp
 // the jobs that failed because a task crashed its workers, and Ratings how often a worker
 // was rated for the tasks of a step. Asked counts the calls of the advisor, AdviceFailed
-// those without an answer, and LateTickets the tickets that had ended on arrival.
+// those without an answer, and LateTickets the tickets that had ended on arrival. Planned counts
+// the tasks that got a hold of the look-ahead placement and Slipped the slips of its plan.
+// HeldFree is the processors that it held free, in thousandths of processor-seconds.
+// Waits and Waited count the tasks that were placed and the time that they had waited.
 type Stats struct {
 	Accepted, Refused, Starts, Ends, Failed, Lost, Stops int64
 	NoRoom, Paces, Moves, Copies, HeldUp                 int64
 	Crashes, GivenUp, Ratings                            int64
 	Asked, AdviceFailed, LateTickets                     int64
+	Planned, Slipped, HeldFree                           int64
+	Waits                                                [SizeCount]int64
+	Waited                                               [SizeCount]time.Duration
 }
 
 // job is the durable state of a job with the part that the planner keeps in
@@ -208,6 +222,12 @@
 	lastResortAt, ranAt time.Time
 	// heldUp is set once the tasks are counted in Stats.HeldUp.
 	heldUp bool
+	// late is the time within which most tasks of the step end, in coarse steps, 0 without
+	// look-ahead placement. planned is set while the step is part of its plan.
+	late    time.Duration
+	planned bool
+	// isCopy is set for the step of a speculative copy, which isn't on the waiting list.
+	isCopy bool
 }
 
 // ProofValidity is how long a planner keeps sending orders and renewing leases
@@ -228,6 +248,9 @@
 		advice: map[sched.StepRef]*stepAdvice{}, advisedJobs: map[sched.JobID]*job{}, noRoomElsewhere: map[string]time.Time{}, service: map[string]sched.ServiceRules{},
 		provenAt: now, inheritedLeaseEnd: now.Add(o.LeaseLimit + leaseClockMargin),
 	}
+	if o.LookAhead {
+		p.ahead = newLookAhead()
+	}
 	if o.AdviceLine == nil {
 		p.options.AdviceLine = &turns.Line{}
 	}
--- a/pkg/cell/reserve.go
+++ b/pkg/cell/reserve.go
@@ -33,6 +33,11 @@
 // take each bit of room that becomes free on full workers, and a task that needs more
 // waits for as long as they come.
 func (p *Planner) reserveWorkers(now time.Time) {
+	p.updateMeanNeed(now)
+	if p.ahead != nil {
+		p.planAhead(now)
+		return
+	}
 	kept := map[*hosts.Host]reservation{}
 	byStep := map[*waitingStep]*hosts.Host{}
 	for h, r := range p.reservations {
@@ -65,6 +70,9 @@
 
 // hasReservation reports whether a worker is reserved for the step.
 func (p *Planner) hasReservation(w *waitingStep) bool {
+	if p.ahead != nil {
+		return len(p.ahead.plan.Holds(waitingStepRef(w))) > 0
+	}
 	for _, r := range p.reservations {
 		if r.step == w {
 			return true
@@ -110,6 +118,9 @@
 // is reserved for another step.
 func (p *Planner) roomFor(w *waitingStep, h *hosts.Host) sched.Resources {
 	free := h.Free()
+	if p.ahead != nil {
+		return p.roomAhead(w, h, free)
+	}
 	r, reserved := p.reservations[h]
 	if !reserved || r.step == w {
 		return free
--- a/pkg/order/times.go
+++ b/pkg/order/times.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"math"
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -13,10 +14,11 @@
 	ratios map[string]ratio
 }
 
-// ratio is a mean over count runs.
+// ratio is a mean over count runs, with the mean deviation from it. A run counts in the
+// deviation with at most the mean, since a few runs take many times as long as the others.
 type ratio struct {
-	mean  float64
-	count int
+	mean, deviation float64
+	count           int
 }
 
 const (
@@ -25,6 +27,12 @@
 	maxCount = 30
 	// minRatio and maxRatio bound the ratio of one run.
 	minRatio, maxRatio = 0.05, 20
+	// firstDeviation is the deviation, as a share of the mean, before any is measured.
+	// Declared times are off by about half.
+	firstDeviation = 0.25
+	// lateDeviations is the number of mean deviations above the mean within which about
+	// 95% of evenly or normally distributed run times lie.
+	lateDeviations = 2
 )
 
 // NewRunTimes returns an estimator without measurements, which expects the declared
@@ -62,7 +70,7 @@
 // ignored.
 func (t *RunTimes) SetRatio(r Ratio) {
 	if r.Mean >= minRatio && r.Mean <= maxRatio && r.Count > 0 {
-		t.ratios[r.Key] = ratio{r.Mean, min(r.Count, maxCount)}
+		t.ratios[r.Key] = ratio{r.Mean, firstDeviation * r.Mean, min(r.Count, maxCount)}
 	}
 }
 
@@ -76,7 +84,11 @@
 	r := t.ratios[k]
 	r.count = min(r.count+1, maxCount)
 	x := min(max(float64(took)/float64(s.Estimate), minRatio), maxRatio)
+	if r.count == 1 {
+		r.deviation = firstDeviation * x
+	}
 	r.mean += (x - r.mean) / float64(r.count)
+	r.deviation += (min(math.Abs(x-r.mean), r.mean) - r.deviation) / float64(r.count+1)
 	t.ratios[k] = r
 }
 
@@ -89,6 +101,15 @@
 	return time.Duration(r.mean * float64(s.Estimate))
 }
 
+// Late returns the time within which most tasks of the step end.
+func (t *RunTimes) Late(q sched.QueueName, s *sched.Step) time.Duration {
+	r := t.ratios[ratioKey(q, s)]
+	if r.count == 0 {
+		r = ratio{mean: 1, deviation: firstDeviation}
+	}
+	return time.Duration((r.mean + lateDeviations*r.deviation) * float64(s.Estimate))
+}
+
 // Chain returns, for each step of a job, the expected time from the start of
 // its tasks to the end of the job along the longest path. Each step takes the given time
 // besides its tasks.
