Play the emulated site with look-ahead placement

Cause: no test ran the feature beside handovers, lost workers and late orders.

Change: TestSiteWithLookAheadUnderFaults plays the fault plans with the feature on.

--- a/internal/emu/site/site_test.go
+++ b/internal/emu/site/site_test.go
@@ -371,3 +371,18 @@
 		newTrial(1).check(t, nil)
 	})
 }
+
+// Guards against held room that keeps tasks waiting for good, or that is given away twice,
+// under the same faults.
+func TestSiteWithLookAheadUnderFaults(t *testing.T) {
+	first, last := seeds(4)
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newTrial(seed)
+				x.site.Options.LookAhead = true
+				x.check(t, x.plan())
+			})
+		})
+	}
+}
