Move a hold that is due late to a worker that has room sooner

Cause: a hold stayed on a worker with long runs though another worker had come back.

Change: a hold that is due in 2 s or more moves to a worker with room clearly sooner. Its due time only becomes earlier, so the bound on the wait stands.

--- a/pkg/ahead/plan.go
+++ b/pkg/ahead/plan.go
@@ -85,6 +85,14 @@
 	// moveMargin is how much sooner the room must be expected elsewhere for a hold to move
 	// after a slip. Anything less is within the spread of the forecasts.
 	moveMargin = 500 * time.Millisecond
+	// farAhead is how far ahead a hold must be due for an earlier place to be looked for,
+	// and improveInterval the time between two such looks for a step. Workers that come
+	// back have room at once.
+	farAhead        = 2 * time.Second
+	improveInterval = 2 * time.Second
+	// maxImproveSearches bounds the looks at all workers after which no earlier place is
+	// looked for in an update. New plans and slips come first.
+	maxImproveSearches = 2
 	// maxMoves bounds the moves of the holds of a step, for each of its tasks. After them a
 	// hold stays until the task starts, which bounds the wait.
 	maxMoves = 3
@@ -107,8 +115,9 @@
 type state struct {
 	holds []*Hold
 	moves int
-	// tryAt is when the step may be planned next.
-	tryAt time.Time
+	// tryAt is when the step may be planned next, improveAt when an earlier place may be
+	// looked for.
+	tryAt, improveAt time.Time
 	// fitsSince is when all of the room was first there and unused.
 	fitsSince time.Time
 	// together is that of the want, and seen is set if an update has it.
@@ -175,6 +184,9 @@
 	for _, lasting := range []bool{true, false} {
 		p.searchAll(wants, lasting)
 	}
+	for k := range wants {
+		p.improve(&wants[k], p.steps[wants[k].Step])
+	}
 	p.workers, p.refresh = nil, nil
 	p.updateFree()
 	return p.events
@@ -284,6 +296,45 @@
 	p.add(w, s, best.worker, best.ready)
 }
 
+// improve moves a hold that is due farAhead to a worker that has room clearly sooner. Its
+// due time becomes earlier each time, so that moves don't add to the wait. A hold that is
+// past its due time doesn't move here.
+func (p *Plan) improve(w *Want, s *state) {
+	if len(s.holds) == 0 || p.now.Before(s.improveAt) || p.searches >= maxImproveSearches {
+		return
+	}
+	last := slices.MaxFunc(s.holds, func(a, b *Hold) int { return a.Ready.Compare(b.Ready) })
+	if last.Ready.Sub(p.now) < farAhead {
+		return
+	}
+	p.searches++
+	s.improveAt = p.now.Add(improveInterval)
+	if w.Together {
+		p.improveGang(w, s, last.Ready)
+		return
+	}
+	best := p.candidates(w).best()
+	if best != nil && best.worker != last.Worker && !best.ready.Add(moveMargin).After(last.Ready) {
+		p.release(s, last)
+		p.add(w, s, best.worker, best.ready)
+	}
+}
+
+// improveGang plans a gang that is due at a time again, and keeps the holds that it has if
+// that isn't clearly sooner.
+func (p *Plan) improveGang(w *Want, s *state, due time.Time) {
+	before := slices.Clone(s.holds)
+	p.releaseAll(s)
+	p.searchGang(w, s)
+	if len(s.holds) > 0 && !s.holds[0].Ready.Add(moveMargin).After(due) {
+		return
+	}
+	p.releaseAll(s)
+	for _, h := range before {
+		p.restore(s, h)
+	}
+}
+
 // slip releases a hold that can't be kept.
 func (p *Plan) slip(w *Want, s *state, h *Hold, kind EventKind, late time.Duration) {
 	p.release(s, h)
@@ -302,8 +353,13 @@
 		Step: w.Step, Worker: to, Needs: w.Needs, Lasting: w.Lasting, Rank: w.Rank, Since: p.now,
 		Ready: maxTime(ready, p.now), Promise: maxTime(ready, p.now),
 	}
+	p.restore(s, h)
+}
+
+// restore adds a hold to those of its step and of its worker.
+func (p *Plan) restore(s *state, h *Hold) {
 	s.holds = append(s.holds, h)
-	to.hold(h)
+	h.Worker.hold(h)
 	if !h.Lasting {
 		p.ending++
 	}
--- a/pkg/ahead/plan_test.go
+++ b/pkg/ahead/plan_test.go
@@ -308,3 +308,27 @@
 	i.Equal(room(0, Ask{Step: s.tasks[0].Step, Planned: true}), int64(2)) // its own
 	i.Equal(room(0, Ask{Step: s.tasks[0].Step, Rank: 4}), int64(1))       // a copy
 }
+
+// Guards against tasks and gangs that wait for a worker with long runs though another one
+// has come back and is idle.
+func TestAHoldMovesToAWorkerThatComesBack(t *testing.T) {
+	for _, together := range []bool{false, true} {
+		i := is.New(t)
+		s := newSite(1, 2)
+		s.machines[0].gone = true
+		for range 16 {
+			s.machines[1].runs = append(s.machines[1].runs, run{needs: processors(1), began: s.now.Add(-time.Minute), end: s.now.Add(time.Hour)})
+		}
+		x := s.add(Want{Needs: processors(3), Tasks: 2, Together: together})
+		for range 5 {
+			s.step(0)
+		}
+		i.Equal(len(s.plan.Holds(x.Step)), map[bool]int{false: 1, true: 2}[together])
+		s.machines[0].gone = false
+		s.machines[0].runs = []run{{needs: processors(13), began: s.now, end: s.now.Add(usualTime)}}
+		for range 300 {
+			s.step(5)
+		}
+		i.Equal(x.Tasks, 0)
+	}
+}
