--- a/internal/emu/site/plan_test.go
+++ b/internal/emu/site/plan_test.go
@@ -29,7 +29,11 @@
 		span := time.Duration(300+t.random.IntN(9000)) * time.Millisecond
 		plan = append(plan, t.draw(at, span)...)
 	}
-	plan = append(plan, t.evacuations()...)
+	return inOrder(append(plan, t.evacuations()...))
+}
+
+// inOrder sorts the faults by their times.
+func inOrder(plan []fault) []fault {
 	slices.SortStableFunc(plan, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -28,6 +28,8 @@
 			}
 			return 0
 		},
+		Evacuations:   func() float64 { return float64(len(e.evacuations.Load().DataCentres())) },
+		EvacuatedRuns: func() float64 { return float64(e.evacuatedRuns()) },
 		Ready: func() float64 {
 			if e.Ready() {
 				return 1
@@ -56,6 +58,20 @@
 	return n
 }
 
+// evacuatedRuns returns the number of runs in evacuated data centres of the cells that this
+// instance plans.
+func (e *Entry) evacuatedRuns() int64 {
+	var n int64
+	if controllers := e.controllers.Load(); controllers != nil {
+		for _, s := range *controllers {
+			if l := s.lead.Load(); l != nil {
+				n += l.EvacuatedRuns()
+			}
+		}
+	}
+	return n
+}
+
 func (e *Entry) metricsHandler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { e.Meter.Write(w) })
--- a/internal/process/lead/evacuate.go
+++ b/internal/process/lead/evacuate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +16,10 @@
 // worker's data centre, or that isn't known.
 var errEvacuated = fmt.Errorf("%w: evacuation of the data centre", sched.ErrUnavailable)
 
+// EvacuatedRuns returns the number of runs in the data centres that are being evacuated, as
+// of the last second.
+func (l *Leader) EvacuatedRuns() int64 { return l.evacuatedRuns.Load() }
+
 // readEvacuations returns the evacuations as of the newest read of the operator's records,
 // and whether starts are held since that is too old.
 func (l *Leader) readEvacuations(now time.Time) (*evac.Set, bool) {
@@ -46,6 +52,9 @@
 	}
 	known, before := s.Marks(), l.evacuations.Marks()
 	changed := l.evacuations == nil
+	if changed { // so that the planner knows which evacuations have ended before its term
+		l.planner.Evacuate(now, slices.Collect(maps.Keys(known)))
+	}
 	for d, m := range known {
 		if m.InForce == before[d].InForce {
 			continue
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -96,6 +96,8 @@
 	// starts. Only the planner's actor uses them.
 	evacuations *evac.Set
 	startsHeld  bool
+	// evacuatedRuns is the number of runs in evacuated data centres as of the last report.
+	evacuatedRuns atomic.Int64
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
 	reportedStats cell.Stats
 	reportedAt    time.Time
@@ -353,6 +355,7 @@
 		l.OnStats(l.reportedStats, done)
 	}
 	l.reportedStats = done
+	l.evacuatedRuns.Store(int64(l.planner.EvacuatedRuns()))
 }
 
 // applyEffects has the planner place waiting tasks and write a batch, and carries out the
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -49,8 +49,9 @@
 type Gauges struct {
 	// Cells is the number of cells planned here, Catalog the version of the
 	// operator's configuration, Ready 1 or 0, and LinesDropped the number of
-	// dropped log lines.
-	Cells, Catalog, Ready, LinesDropped func() float64
+	// dropped log lines. Evacuations is the number of data centres that are being
+	// evacuated, and EvacuatedRuns that of the runs there in the cells planned here.
+	Cells, Catalog, Ready, LinesDropped, Evacuations, EvacuatedRuns func() float64
 }
 
 // RegisterGauges registers the gauges. It is called once.
@@ -59,6 +60,8 @@
 	m.set.NewGauge(catalogVersion, g.Catalog)
 	m.set.NewGauge(readyNow, g.Ready)
 	m.set.NewGauge(linesDropped, g.LinesDropped)
+	m.set.NewGauge(evacuations, g.Evacuations)
+	m.set.NewGauge(evacuatedRuns, g.EvacuatedRuns)
 }
 
 // TermBegan counts a term that a planner of this instance has begun.
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -24,6 +24,8 @@
 		{cellsPlanned, "gauge", "Cells that are planned here."},
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
 		{readyNow, "gauge", "1 while the instance is ready, else 0."},
+		{evacuations, "gauge", "Data centres that are being evacuated, as known here."},
+		{evacuatedRuns, "gauge", "Runs in these data centres, of the cells that are planned here."},
 		{linesDropped, "counter", "Log lines for which there was no space, or that couldn't be written."},
 	}
 }
@@ -47,5 +49,7 @@
 	cellsPlanned   = "parsleybarrow_cells_planned"
 	catalogVersion = "parsleybarrow_catalog_version"
 	readyNow       = "parsleybarrow_entry_ready"
+	evacuations    = "parsleybarrow_evacuations"
+	evacuatedRuns  = "parsleybarrow_evacuated_runs"
 	linesDropped   = "parsleybarrow_log_lines_dropped_total"
 )
--- a/pkg/cell/advice_wait.go
+++ b/pkg/cell/advice_wait.go
@@ -80,7 +80,7 @@
 		if j.Queue.Priority > priority {
 			continue
 		}
-		each := adviceTime(j.Queue.Advice, min(len(p.workers), askLimit(j.Queue.Advice))) + extra
+		each := adviceTime(j.Queue.Advice, min(p.startable(), askLimit(j.Queue.Advice))) + extra
 		for _, o := range j.Occurrences {
 			sum += time.Duration(p.stepsToAdvise(now, j, o)) * each
 		}
--- a/pkg/cell/batch.go
+++ b/pkg/cell/batch.go
@@ -60,6 +60,7 @@
 // every event, and Flush after it.
 func (p *Planner) Place(now time.Time) {
 	if p.inFlight == nil {
+		p.updateRecovery(now)
 		p.placeWaiting(now)
 	}
 }
--- a/pkg/cell/evacuate.go
+++ b/pkg/cell/evacuate.go
@@ -21,11 +21,17 @@
 // gang also those of its other members. Runs go on. With Options.EvacuationLimit nothing is
 // placed before the first call.
 func (p *Planner) Evacuate(now time.Time, all []sched.DataCentre) {
+	before := p.evacuations.inForce
 	p.evacuations.known = true
 	p.evacuations.inForce = make(map[sched.DataCentre]bool, len(all))
 	for _, d := range all {
 		p.evacuations.inForce[d] = true
 	}
+	for d := range before {
+		if !p.Evacuated(d) {
+			p.recovery.began(now, d)
+		}
+	}
 	if len(all) == 0 {
 		return
 	}
@@ -54,6 +60,20 @@
 // Evacuated reports whether a data centre is being evacuated.
 func (p *Planner) Evacuated(d sched.DataCentre) bool { return p.evacuations.inForce[d] }
 
+// startable returns the number of workers outside the data centres that are being evacuated.
+func (p *Planner) startable() int {
+	if len(p.evacuations.inForce) == 0 {
+		return len(p.workers)
+	}
+	n := 0
+	for _, h := range p.workers {
+		if !p.Evacuated(h.DataCentre) {
+			n++
+		}
+	}
+	return n
+}
+
 // EvacuatedRuns returns the number of runs in the data centres that are being evacuated,
 // with those that are only placed or may not be there any more.
 func (p *Planner) EvacuatedRuns() int {
--- a/pkg/cell/evacuate_test.go
+++ b/pkg/cell/evacuate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -239,3 +240,39 @@
 	r.commit()
 	i.Equal(workersOf(r.starts()), []sched.InstanceID{"w1"})
 }
+
+// Guards against cold workers that get all their load at once when an evacuation ends, and
+// against warm ones that wait.
+func TestColdWorkersGetAGrowingShare(t *testing.T) {
+	i := is.New(t)
+	r := newRig(t)
+	r.list(inDataCentre(1, "a"), inDataCentre(2, "b"))
+	r.evacuate("a", "b")
+	cold := inDataCentre(1, "a")
+	cold.WarmupRemaining = 10 * time.Second
+	r.planner.Listed(r.now, cold)
+	r.evacuate()
+	for n := range 40 { // lasting, so that nothing ends
+		s := step()
+		s.Lasting = true
+		r.submit(job(fmt.Sprint("j", n), s))
+	}
+	running := map[sched.InstanceID]int{}
+	at := func(d time.Duration) {
+		for until := epoch.Add(d); r.now.Before(until); {
+			r.pass(50 * time.Millisecond)
+			r.commit()
+			for _, s := range r.starts() {
+				running[s.Worker.ID]++
+				r.start(s, nil)
+			}
+		}
+	}
+	at(500 * time.Millisecond)
+	i.Equal(running["w2"], 16) // warm
+	i.True(running["w1"] >= 1 && running["w1"] <= 2)
+	at(5 * time.Second)
+	i.True(running["w1"] >= 7 && running["w1"] <= 8)
+	at(11 * time.Second)
+	i.Equal(running["w1"], 16)
+}
--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -201,7 +201,7 @@
 // hasRoomElsewhere reports whether another worker has room for the run.
 func (p *Planner) hasRoomElsewhere(now time.Time, h *hosts.Host, s *hosts.Slot, j *job) bool {
 	for _, o := range p.workers {
-		if o == h || !p.usable(now, o, j.Queue.Service, s.Step) || !s.Step.Counted().Fits(o.Free()) {
+		if o == h || !p.usable(now, o, j.Queue.Service, s.Step) || !s.Step.Counted().Fits(p.freeOn(o)) {
 			continue
 		}
 		if _, fits := p.score(o, stepRefOf(s.Task), s.Step); fits {
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -141,6 +141,8 @@
 	placedAt, fillersPlacedAt time.Time
 	// evacuations are the data centres in which nothing may start.
 	evacuations evacuations
+	// recovery is the return of load to data centres whose evacuation has ended.
+	recovery recovery
 	// delay is how far the planner is behind, see SetDelay.
 	delay time.Duration
 }
--- a/pkg/cell/reserve.go
+++ b/pkg/cell/reserve.go
@@ -107,9 +107,9 @@
 }
 
 // roomFor returns what is free on a worker for a step: less than Host.Free if the worker
-// is reserved for another step.
+// is reserved for another step or cold.
 func (p *Planner) roomFor(w *waitingStep, h *hosts.Host) sched.Resources {
-	free := h.Free()
+	free := p.freeOn(h)
 	r, reserved := p.reservations[h]
 	if !reserved || r.step == w {
 		return free
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -134,7 +134,7 @@
 	service := p.jobs[s.Task.Job].Queue.Service
 	for _, h := range p.workers {
 		p.stats.Ratings++
-		if !p.usable(now, h, service, s.Step) || !s.Step.Counted().Fits(h.Free()) {
+		if !p.usable(now, h, service, s.Step) || !s.Step.Counted().Fits(p.freeOn(h)) {
 			continue
 		}
 		part := h.ProcessorShare(s.Step.Needs.Processors)
