--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -29,6 +29,8 @@
 		{cellsPlanned, "gauge", "Cells that are planned here."},
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
 		{readyNow, "gauge", "1 while the instance is ready, else 0."},
+		{evacuations, "gauge", "Data centres that are being evacuated, as known here."},
+		{evacuatedRuns, "gauge", "Runs in these data centres, of the cells that are planned here."},
 		{linesDropped, "counter", "Log lines for which there was no space, or that couldn't be written."},
 		{clientBytes, "gauge", "Memory reserved for clients, in bytes, by listener: callers, balancer, peers, metrics."},
 		{clientConnections, "gauge", "Open connections of clients, by listener."},
@@ -55,6 +57,8 @@
 	plannerWaits    = "parsleybarrow_planner_waits_total"
 	plannerWaited   = "parsleybarrow_planner_wait_seconds_total"
 	plannerHeldFree = "parsleybarrow_planner_held_free_processor_seconds_total"
+	evacuations     = "parsleybarrow_evacuations"
+	evacuatedRuns   = "parsleybarrow_evacuated_runs"
 	termsTotal      = "parsleybarrow_terms_total"
 	candidateRank   = "parsleybarrow_candidate_rank"
 	cellsPlanned    = "parsleybarrow_cells_planned"
