Move a cell to a better instance while work goes on

Cause: nothing moved a cell from the instance that began its first term, or took over, to one with more processors, nor from one whose planner is behind.

Change: instances send their share of processor time in use, the longest wait of a planner's message and whether they leave with each ping. rank.Mover decides at the planner: the cell moves if this instance isn't able and another one is, or if messages waited for over 200 ms in most of the last 3 s while an idle instance of at least the same size is heard; either for 2 s, and at most once in 10 s. A cell that has moved here moves on to one of the same size only after a minute, since the load is then the cause. The move uses the existing handover. Once the other instance has read the records, the planner appends nothing for up to 350 ms, so that the conditional append of the new term succeeds. If that fails, the planner continues. Log lines plannerMoved and plannerMoveFailed; metrics of moves and of the rank by cell.

--- a/internal/emu/site/placement_test.go
+++ b/internal/emu/site/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/emu/load"
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/world"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
@@ -158,3 +160,99 @@
 		end()
 	})
 }
+
+// longestPause returns the longest time without the start of a task in the given time.
+func (t *trial) longestPause(d time.Duration) time.Duration {
+	var longest time.Duration
+	began := time.Now()
+	last, count := began, int64(0)
+	for time.Since(began) < d {
+		if n, _ := t.world.Audit.Counts(); n != count {
+			longest = max(longest, time.Since(last))
+			last, count = time.Now(), n
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return max(longest, time.Since(last))
+}
+
+// Guards against a cell that stays on an instance that is too small for it, or that moves
+// more than once, against a move that stops the work for too long, and against tasks that
+// run twice because of it.
+func TestACellMovesFromASmallInstanceWhileWorkGoesOn(t *testing.T) {
+	cases := []struct {
+		name  string
+		delay time.Duration // one way, of the larger instances to the store
+	}{
+		{"near the store", time.Millisecond},
+		{"farther from the store", 20 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { testMove(t, c.delay) })
+	}
+}
+
+func testMove(t *testing.T, delay time.Duration) {
+	const maxPause = 500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		i := is.NewRelaxed(t)
+		var large atomic.Bool
+		var before, after, last sched.InstanceID
+		var pause time.Duration
+		x := newSizedTrial(7, 4, 8, 1)
+		x.site.Adjust = func(p *peers.Instance) {
+			switch {
+			case p.ID == instance(0):
+				p.Processors = 192
+			case large.Load():
+				p.Processors = 800
+			default:
+				p.Processors = 100
+			}
+		}
+		x.site.WrapStore = func(id sched.InstanceID, s sched.Store) sched.Store {
+			if id != instance(0) {
+				x.world.StorePath(id, func(p *world.Path) { p.Delay = delay })
+			}
+			return s
+		}
+		findings, unfinished, done := x.execute([]fault{
+			{at: 3 * time.Second, do: func(x *trial) {
+				before = x.site.Planner(0)
+				large.Store(true)
+				for n := 1; n < 4; n++ {
+					x.site.Start(instance(n))
+				}
+				go x.submitSteadily(6 * time.Second)
+			}},
+			{at: 3500 * time.Millisecond, do: func(x *trial) {
+				pause = x.longestPause(5 * time.Second)
+				after = x.site.Planner(0)
+			}},
+			{at: 35 * time.Second, do: func(x *trial) { last = x.site.Planner(0) }},
+		})
+		t.Logf("moved from %s to %s, then %s; longest time without a start %v", before, after, last, pause)
+		i.Equal(before, instance(0))
+		i.True(after != "" && after != instance(0)) // the cell has moved
+		i.Equal(last, after)                        // and stays
+		i.True(pause <= maxPause)
+		i.Equal(len(findings), 0)
+		i.Equal(len(unfinished), 0)
+		i.True(done > 0)
+		for _, f := range findings {
+			t.Log(f)
+		}
+	})
+}
+
+// submitSteadily submits a job every 50 ms for the given time.
+func (t *trial) submitSteadily(d time.Duration) {
+	s := &load.JobGenerator{
+		Random: rand.New(rand.NewPCG(t.seed, 11)), Queue: t.queue, Racks: racks, Labels: labels, MaxMeanRunTime: 300 * time.Millisecond,
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		truth := s.Next(time.Now())
+		t.world.Jobs.Add(truth)
+		go t.caller.SubmitAndPoll(context.Background(), truth.Job)
+	}
+}
--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/daemon"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/entry"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
@@ -132,6 +133,8 @@
 		Log:            l.With(zap.String("instance", string(s.ID))),
 		WorkersPerCell: x.WorkersPerCell,
 		AgentsFrom:     x.AgentsFrom,
+
+		UsedProcessorTime: busy.ProcessorTime,
 	}
 	e.Reload(plannerOptions(s), s.Bounds.Grace)
 	parts := []struct {
--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/process/agent"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
@@ -59,6 +61,13 @@
 	living            living
 	// beginning is set while this instance reads the records of the cell to begin a term.
 	beginning atomic.Bool
+	// loaded is set once it has read them, until the term has begun.
+	loaded atomic.Bool
+	// movedAfter is the term after which a working planner has asked this instance to
+	// plan the cell.
+	movedAfter atomic.Int64
+	// placement belongs to the term of this instance, nil if there is none.
+	placement atomic.Pointer[placement]
 }
 
 func newCellController(e *Entry, cell int) *cellController {
@@ -97,22 +106,31 @@
 	}
 	l.Options.AdviceLine = &e.adviceLine
 	l.Options.PredecessorStopped = k.predecessorEnded(from)
-	l.OnStats, l.OnLoad = e.Meter.AddPlannerStats, e.Meter.AddPlannerLoad
+	l.OnStats = e.Meter.AddPlannerStats
+	l.OnLoad = func(r busy.Report) {
+		e.Meter.AddPlannerLoad(r)
+		if p := k.placement.Load(); p != nil {
+			p.recordReport(e.Clock.Now(), r)
+		}
+	}
+	l.OnLoaded = func() { k.loaded.Store(true) }
 	l.Spend = e.Spend
 	k.beginning.Store(true)
-	defer k.beginning.Store(false)
-	l.OnBegin = func(term sched.Offset) {
+	defer func() {
 		k.beginning.Store(false)
-		e.Meter.TermBegan()
-		k.living.do(func(l *rank.Living) { *l = rank.Living{} })
-		k.lead.Store(l)
-		p := k.ownPlanner(term)
-		e.directory.UpdatePlanner(p)
-		e.workers.addTerm(context.WithoutCancel(c), k.number)
-		go k.announce(context.WithoutCancel(c), p)
+		k.loaded.Store(false)
+	}()
+	term, endTerm := context.WithCancel(c)
+	var moves sync.WaitGroup
+	l.OnBegin = func(number sched.Offset) {
+		placed := k.termBegan(context.WithoutCancel(c), l, from, number)
+		moves.Go(func() { k.watchPlacement(term, l, placed) })
 	}
 	l.OnAppendOverdue = func() { k.offerCell(l) }
 	err := l.Run(c)
+	endTerm()
+	moves.Wait()
+	k.placement.Store(nil)
 	if k.lead.CompareAndSwap(l, nil) {
 		e.workers.removeTerm()
 	}
@@ -135,6 +153,26 @@
 	_ = e.Clock.Sleep(c, lostTermDelay)
 }
 
+// termBegan updates the state of this instance when its term has begun. The context isn't
+// the one that ends the term. It returns what decides on moves of the cell.
+func (k *cellController) termBegan(
+	c context.Context, l *lead.Leader, from peers.Planner, term sched.Offset,
+) *placement {
+	e := k.entry
+	k.beginning.Store(false)
+	k.loaded.Store(false)
+	placed := newPlacement(e.Clock.Now(), from.Term > 0 && k.movedAfter.Load() == int64(from.Term))
+	k.placement.Store(placed)
+	e.Meter.TermBegan()
+	k.living.do(func(l *rank.Living) { *l = rank.Living{} })
+	k.lead.Store(l)
+	p := k.ownPlanner(term)
+	e.directory.UpdatePlanner(p)
+	e.workers.addTerm(c, k.number)
+	go k.announce(c, p)
+	return placed
+}
+
 // predecessorEnded reports whether the planner surely gives no more orders: there
 // was none, it was this instance, or its instance has restarted since, which a
 // higher incarnation shows.
@@ -212,9 +250,15 @@
 // requestTakeover asks an instance to plan the cell after the given term, or, with
 // offer, only whether it would. It reports whether the instance agreed.
 func (k *cellController) requestTakeover(i peers.Instance, after sched.Offset, offer bool) bool {
+	q := k.ping()
+	q.TakeOverAfter, q.QueryOnly = after, offer
+	return k.sendTakeover(i, q)
+}
+
+func (k *cellController) sendTakeover(i peers.Instance, q relay.Ping) bool {
 	x, cancel := context.WithTimeout(context.Background(), takeoverRequestTimeout)
 	defer cancel()
-	p, err := k.entry.relay.Ping(x, i.Address, relay.Ping{From: k.entry.Self.ID, Cell: k.number, TakeOverAfter: after, QueryOnly: offer})
+	p, err := k.entry.relay.Ping(x, i.Address, q)
 	return err == nil && p.TakeOverAccepted
 }
 
@@ -253,18 +297,24 @@
 	}
 	c, cancel := context.WithTimeout(context.Background(), takeoverTimeout)
 	defer cancel()
-	k.yield(c, l, i)
+	k.yield(c, l, i, 0)
 }
 
 // yield pings the instance until it reports a later term of the cell, and then
-// ends the term of this instance. It gives up when a ping fails or the context
-// ends.
-func (k *cellController) yield(c context.Context, l *lead.Leader, to peers.Instance) {
+// ends the term of this instance and returns true. It gives up when a ping fails or the
+// context ends. Once the instance has read the records, this one appends nothing for the
+// time of hold, if that isn't 0, and yield gives up after twice that time.
+func (k *cellController) yield(c context.Context, l *lead.Leader, to peers.Instance, hold time.Duration) bool {
 	e := k.entry
+	var held time.Time
 	for k.lead.Load() == l && e.Clock.Sleep(c, takeoverPollInterval) == nil {
 		p, err := e.relay.Ping(c, to.Address, relay.Ping{From: e.Self.ID, Cell: k.number})
 		if err != nil {
-			return
+			return false
+		}
+		if hold > 0 && p.Loaded && held.IsZero() {
+			l.Hold(hold)
+			held = e.Clock.Now()
 		}
 		for _, x := range p.Planners {
 			if x.Cell == k.number && x.Term > l.Number() {
@@ -272,10 +322,15 @@
 					zap.Int64("term", int64(x.Term)))
 				e.directory.UpdatePlanner(x)
 				l.Supersede(lead.Term{ID: x.ID, Incarnation: x.Incarnation, Address: x.Address, Number: x.Term})
-				return
+				return true
 			}
 		}
+		if !held.IsZero() && e.Clock.Now().Sub(held) >= 2*hold {
+			return false
+		}
 	}
+	p, known := e.directory.Planner(k.number)
+	return known && p.ID == to.ID && p.Term > l.Number()
 }
 
 // offsetPastEnd lies after the end of every partition, so that a read from there
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -53,6 +53,9 @@
 	// Spend emulates the processor time of the planners here, see lead.Leader. It is nil on
 	// a real processor.
 	Spend func(before, after cell.Stats)
+	// UsedProcessorTime returns the processor time that the process has used so far. It may
+	// be nil; other instances then don't know how busy this one is.
+	UsedProcessorTime func() (time.Duration, error)
 	// LinesDropped returns the number of log lines dropped so far. It may be nil.
 	LinesDropped func() int64
 	// WorkersPerCell is the number of workers per cell from which the number of
@@ -74,6 +77,7 @@
 	leaving     atomic.Bool
 	inFlight    atomic.Int64
 	settings    atomic.Pointer[settings]
+	usage       usage
 }
 
 // settings holds what Reload sets.
--- a/internal/process/entry/living.go
+++ b/internal/process/entry/living.go
@@ -35,9 +35,13 @@
 	k.living.do(func(l *rank.Living) { l.Missed(now, id) })
 }
 
-// heard records a ping of an instance.
-func (k *cellController) heard(id sched.InstanceID) {
-	k.living.do(func(l *rank.Living) { l.Heard(k.entry.Clock.Now(), id) })
+// heard records a ping of an instance to this one, which plans the cell.
+func (k *cellController) heard(q relay.Ping) {
+	now := k.entry.Clock.Now()
+	k.living.do(func(l *rank.Living) { l.Heard(now, q.From) })
+	if p := k.placement.Load(); p != nil {
+		p.recordLoad(now, q.From, q.Load)
+	}
 }
 
 // recordSilent records the instances that the cell's planner doesn't hear.
@@ -84,5 +88,46 @@
 
 // currentLoad returns how busy this instance is.
 func (e *Entry) currentLoad() relay.Load {
-	return relay.Load{Leaving: e.leaving.Load()}
+	out := relay.Load{Leaving: e.leaving.Load(), Busy: e.usage.share(e.Clock.Now(), e.UsedProcessorTime, e.Self.Processors)}
+	if controllers := e.controllers.Load(); controllers != nil {
+		for _, s := range *controllers {
+			if p := s.placement.Load(); p != nil {
+				out.Wait = max(out.Wait, p.longestWait())
+			}
+		}
+	}
+	return out
+}
+
+// usageInterval is the time over which the share of processor time in use is taken.
+const usageInterval = time.Second
+
+// usage measures the share of its processor time that this instance uses. It is safe for
+// concurrent use.
+type usage struct {
+	mu     sync.Mutex
+	at     time.Time
+	used   time.Duration
+	newest float64
+}
+
+// share returns the share in the last complete interval, 0 if unknown. read returns the
+// processor time used so far; it may be nil.
+func (u *usage) share(now time.Time, read func() (time.Duration, error), processors int) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	span := now.Sub(u.at)
+	if read == nil || processors <= 0 || span < usageInterval {
+		return u.newest
+	}
+	used, err := read()
+	if err != nil {
+		return 0
+	}
+	if !u.at.IsZero() {
+		const thousandths = 1000
+		u.newest = float64(used-u.used) / float64(span) * thousandths / float64(processors)
+	}
+	u.at, u.used = now, used
+	return u.newest
 }
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -77,19 +77,22 @@
 			out.Planners = append(out.Planners, s.ownPlanner(l.Number()))
 			if s.number == q.Cell {
 				out.ProofAge = l.ProofAge()
-				s.heard(q.From)
+				s.heard(q)
 				out.Silent = s.silent()
 			}
 		}
 	}
 	if s := p.controller(q.Cell); s != nil {
-		out.Beginning = s.beginning.Load()
+		out.Beginning, out.Loaded = s.beginning.Load(), s.loaded.Load()
 	}
 	if q.ProbePlanner {
 		out.PlannerReached = p.reaches(c, q.Cell)
 	}
 	if s := p.controller(q.Cell); q.TakeOverAfter > 0 && s != nil && !out.Load.Leaving {
 		out.TakeOverAccepted = s.canTakeOver(c, q.TakeOverAfter) && (q.QueryOnly || s.acceptTakeover(q.TakeOverAfter))
+		if q.Move && !q.QueryOnly && out.TakeOverAccepted {
+			s.movedAfter.Store(int64(q.TakeOverAfter))
+		}
 	}
 	return out
 }
--- a/internal/process/entry/monitor.go
+++ b/internal/process/entry/monitor.go
@@ -175,7 +175,7 @@
 		// has ended: this instance has proof that the planner is gone. It begins at
 		// once if it is able, and else leaves one candidate the time to do so.
 		rank = min(rank, 1)
-		if e.directory.Self.Candidate(0).Able() {
+		if (peers.Ranked{Instance: e.directory.Self}).Candidate().Able() {
 			rank = 0
 		}
 	}
@@ -188,7 +188,7 @@
 
 // isNear reports whether an instance is in the planner's region or near the store.
 func (m *plannerMonitor) isNear(p peers.Planner, i peers.Instance) bool {
-	if i.Candidate(0).Near() {
+	if (peers.Ranked{Instance: i}).Candidate().Near() {
 		return true
 	}
 	planner, known := m.cell.entry.directory.Instance(p.ID)
--- a/internal/process/lead/append.go
+++ b/internal/process/lead/append.go
@@ -39,6 +39,10 @@
 				return l.ended(err)
 			}
 			l.post(workAppended, func() { l.planner.Proven(sent) })
+		case d := <-l.holdRequested:
+			if t, superseded := l.hold(c, d); superseded {
+				return &SupersededError{l.Cell, t}
+			}
 		case t := <-l.supersededBy:
 			return &SupersededError{l.Cell, t}
 		case err := <-l.failure:
@@ -50,6 +54,29 @@
 	}
 }
 
+// Hold has the planner append nothing for the given time, between two appends, so that
+// another instance can append its term. The planner goes on afterwards.
+func (l *Leader) Hold(d time.Duration) {
+	select {
+	case l.holdRequested <- d:
+	default:
+	}
+}
+
+// hold waits for the given time, or until the context ends. It returns earlier with the
+// term of another instance that has taken over.
+func (l *Leader) hold(c context.Context, d time.Duration) (Term, bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case t := <-l.supersededBy:
+		return t, true
+	case <-timer.C:
+	case <-c.Done():
+	}
+	return Term{}, false
+}
+
 const (
 	// attemptTimeout bounds one attempt of an append. A slow store answers after
 	// some hundred milliseconds.
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -46,6 +46,9 @@
 	// done for it, and returns once an emulated processor has done as much. It is nil on
 	// a real one.
 	Spend func(before, after cell.Stats)
+	// OnLoaded is called when the records of the cell have been read, before the term
+	// begins. It may be nil.
+	OnLoaded func()
 	// OnAppendOverdue is called, in a goroutine of its own, when an append takes so long
 	// that the instance may not reach the store. There is at most one call at a
 	// time. It may be nil.
@@ -85,8 +88,10 @@
 	// asks that append for another attempt.
 	appendPending  atomic.Bool
 	retryRequested chan struct{}
-	begunAt        time.Time
-	lag            lag
+	// holdRequested receives the time for which nothing is to be appended.
+	holdRequested chan time.Duration
+	begunAt       time.Time
+	lag           lag
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
 	reportedStats cell.Stats
 	reportedAt    time.Time
@@ -144,6 +149,7 @@
 	l.work, l.processorTime = busy.New(l.begunAt), l.readProcessorTime()
 	l.appends, l.stopped = make(chan []sched.KeyedRecord, 1), make(chan struct{})
 	l.supersededBy, l.retryRequested = make(chan Term, 1), make(chan struct{}, 1)
+	l.holdRequested = make(chan time.Duration, 1)
 	l.failure = make(chan error, 1)
 	l.startActor()
 	l.Log.Info("termBegan", zap.Int64("term", int64(l.termNumber)), zap.Int("records", len(restored.records)))
@@ -178,6 +184,9 @@
 		return nil, err
 	}
 	l.provenAt.Store(l.Clock.Now().UnixNano())
+	if l.OnLoaded != nil {
+		l.OnLoaded()
+	}
 	if l.termNumber, err = k.appendTerm(c, l.Store, l.Cell, l.Term, l.Predecessor); err != nil {
 		return nil, err
 	}
--- a/internal/process/lead/load.go
+++ b/internal/process/lead/load.go
@@ -85,8 +85,13 @@
 	termAppendTimeout = 250 * time.Millisecond
 	// maxTermAttempts bounds the attempts to append a term record. An attempt
 	// fails if the partition has grown since it was read.
-	maxTermAttempts  = 20
-	maxTimeoutFactor = 6
+	maxTermAttempts = 20
+	// termAttemptPause times the number of attempts, at most maxTermAttemptPause, is the
+	// time until the next one. A planner that works, and from which the cell moves, stops
+	// appending only some round trips after the records have been read.
+	termAttemptPause    = 5 * time.Millisecond
+	maxTermAttemptPause = 50 * time.Millisecond
+	maxTimeoutFactor    = 6
 )
 
 // keyedState holds the newest record of each key of a cell's partition, up to
@@ -161,6 +166,10 @@
 		if !errors.As(err, &moved) && !errors.Is(err, sched.ErrUncertain) {
 			return 0, err
 		}
+		select {
+		case <-time.After(min(time.Duration(n+1)*termAttemptPause, maxTermAttemptPause)):
+		case <-c.Done():
+		}
 		if err := k.catchUp(c, s); err != nil {
 			return 0, err
 		}
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -69,6 +69,9 @@
 	m.set.GetOrCreateGauge(fmt.Sprintf("%s{cell=\"%d\"}", candidateRank, cell), nil).Set(float64(rank))
 }
 
+// AddMove counts a move of a cell from this instance, by result: ok or failed.
+func (m *Meter) AddMove(result string) { m.count(movesTotal, fmt.Sprintf("result=%q", result)) }
+
 // AddPlannerStats adds the differences between two readings of a planner's statistics
 // to the planner counters.
 func (m *Meter) AddPlannerStats(before, after cell.Stats) {
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -21,6 +21,7 @@
 		{plannerWorks, "counter", "Messages and other works behind that time, by work."},
 		{plannerWait, "histogram", "Longest time that a message waited for that thread, once a second."},
 		{termsTotal, "counter", "Terms that planners here began."},
+		{movesTotal, "counter", "Moves of cells from this instance to a better one, by result: ok, failed."},
 		{candidateRank, "gauge", "Candidates for a cell that are believed to be alive and rank before this instance, by cell."},
 		{cellsPlanned, "gauge", "Cells that are planned here."},
 		{catalogVersion, "gauge", "Version of the operator's configuration in force."},
@@ -45,6 +46,7 @@
 	plannerWorks   = "parsleybarrow_planner_works_total"
 	plannerWait    = "parsleybarrow_planner_longest_wait_seconds"
 	termsTotal     = "parsleybarrow_terms_total"
+	movesTotal     = "parsleybarrow_cell_moves_total"
 	candidateRank  = "parsleybarrow_candidate_rank"
 	cellsPlanned   = "parsleybarrow_cells_planned"
 	catalogVersion = "parsleybarrow_catalog_version"
--- a/internal/process/peers/directory.go
+++ b/internal/process/peers/directory.go
@@ -253,10 +253,21 @@
 	return i, known
 }
 
-// Candidates returns the known instances, this one included, in the order in which they
-// should plan the cell, see rank.Sort. The order is the same at every instance that has
-// read the same records.
-func (d *Directory) Candidates(cell int) []Instance {
+// Ranked is an instance with the number of other cells that it plans.
+type Ranked struct {
+	Instance
+	Cells int
+}
+
+// Candidate returns what counts in the order of the candidates for a cell.
+func (r Ranked) Candidate() rank.Candidate {
+	return rank.Candidate{ID: r.ID, Processors: r.Processors, StoreRTT: r.StoreRTT, Cells: r.Cells}
+}
+
+// Ranked returns the known instances, this one included, in the order in which they should
+// plan the cell, see rank.Sort. The order is the same at every instance that has read the
+// same records.
+func (d *Directory) Ranked(cell int) []Ranked {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	cells := map[sched.InstanceID]int{}
@@ -265,28 +276,32 @@
 			cells[p.ID]++
 		}
 	}
-	known := map[sched.InstanceID]Instance{d.Self.ID: d.Self}
+	known := map[sched.InstanceID]Ranked{d.Self.ID: {d.Self, cells[d.Self.ID]}}
 	for id, i := range d.instances {
 		if id != d.Self.ID {
-			known[id] = i
+			known[id] = Ranked{i, cells[id]}
 		}
 	}
 	all := make([]rank.Candidate, 0, len(known))
-	for id, i := range known {
-		all = append(all, i.Candidate(cells[id]))
+	for _, i := range known {
+		all = append(all, i.Candidate())
 	}
 	rank.Sort(cell, all)
-	out := make([]Instance, len(all))
+	out := make([]Ranked, len(all))
 	for k, c := range all {
 		out[k] = known[c.ID]
 	}
 	return out
 }
 
-// Candidate returns the instance as a candidate for a cell that plans the given number of
-// other cells.
-func (i Instance) Candidate(cells int) rank.Candidate {
-	return rank.Candidate{ID: i.ID, Processors: i.Processors, StoreRTT: i.StoreRTT, Cells: cells}
+// Candidates returns the instances of Ranked.
+func (d *Directory) Candidates(cell int) []Instance {
+	all := d.Ranked(cell)
+	out := make([]Instance, len(all))
+	for k, r := range all {
+		out[k] = r.Instance
+	}
+	return out
 }
 
 // Better returns the instances, other than the given one, that rank before this one among
--- a/internal/process/relay/client.go
+++ b/internal/process/relay/client.go
@@ -133,7 +133,7 @@
 func (c *Client) Ping(x context.Context, address string, q Ping) (Pong, error) {
 	m, err := c.service(address).Ping(x, &pb.RelayPing{
 		Cell: uint32(q.Cell), From: string(q.From), Probe: q.ProbePlanner, Take: int64(q.TakeOverAfter), Offer: q.QueryOnly,
-		Load: q.Load.message(),
+		Load: q.Load.message(), Move: q.Move,
 	})
 	if err != nil {
 		return Pong{}, err
--- a/internal/process/relay/load.go
+++ b/internal/process/relay/load.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"github.com/parsleybarrow/parsleybarrow/internal/wire/pb"
@@ -20,7 +21,8 @@
 const percent = 100
 
 func (l Load) message() *pb.RelayLoad {
-	return &pb.RelayLoad{Busy: uint32(percent * l.Busy), Wait: uint32(l.Wait.Milliseconds()), Leaving: l.Leaving}
+	// 0 stands for an unknown share.
+	return &pb.RelayLoad{Busy: uint32(math.Ceil(percent * l.Busy)), Wait: uint32(l.Wait.Milliseconds()), Leaving: l.Leaving}
 }
 
 func loadOf(m *pb.RelayLoad) Load {
--- a/internal/process/relay/server.go
+++ b/internal/process/relay/server.go
@@ -58,6 +58,9 @@
 	// QueryOnly reduces TakeOverAfter to the question whether the receiver would take the
 	// cell over.
 	QueryOnly bool
+	// Move is set in a request to take a cell over whose planner works: the cell moves to
+	// a better instance.
+	Move bool
 	// Load is how busy the sender is.
 	Load Load
 }
@@ -165,7 +168,7 @@
 func (s *service) Ping(c context.Context, m *pb.RelayPing) (*pb.RelayPong, error) {
 	p := s.local.Ping(c, Ping{
 		From: sched.InstanceID(m.GetFrom()), Cell: int(m.GetCell()), ProbePlanner: m.GetProbe(), TakeOverAfter: sched.Offset(m.GetTake()), QueryOnly: m.GetOffer(),
-		Load: loadOf(m.GetLoad()),
+		Load: loadOf(m.GetLoad()), Move: m.GetMove(),
 	})
 	out := &pb.RelayPong{
 		Instance: string(p.ID), Incarnation: uint64(p.Incarnation), ProofAge: uint32(p.ProofAge.Milliseconds()), Leaving: p.Load.Leaving,
