--- a/internal/emu/site/placement_test.go
+++ b/internal/emu/site/placement_test.go
@@ -245,6 +245,55 @@
 	})
 }
 
+// Guards against a planner that stops, or a cell that nobody plans, because the instance to
+// which the cell moves is lost or frozen on the way.
+func TestThePlannerContinuesIfAMoveFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.NewRelaxed(t)
+		var targets sync.Map
+		x, end := placementTrial(2, func(x *trial) {
+			x.site.Adjust = func(p *peers.Instance) {
+				p.Processors = 100
+				if _, large := targets.Load(p.ID); large {
+					p.Processors = 800
+				}
+			}
+			x.site.WrapStore = func(id sched.InstanceID, s sched.Store) sched.Store {
+				if _, large := targets.Load(id); large {
+					return frozenOnLoad{s, func() { x.world.Freeze(id) }}
+				}
+				return s
+			}
+		})
+		before := x.site.Planner(0)
+		other := instance(0)
+		if before == other {
+			other = instance(1)
+		}
+		targets.Store(other, true)
+		x.site.Start(other)
+		for range 60 {
+			time.Sleep(250 * time.Millisecond)
+			i.Equal(x.site.Planner(0), before)
+		}
+		x.world.Thaw(other)
+		end()
+	})
+}
+
+// frozenOnLoad calls freeze when a whole cell is read.
+type frozenOnLoad struct {
+	sched.Store
+	freeze func()
+}
+
+func (s frozenOnLoad) Newest(c context.Context, p sched.Partition, after string) (sched.NewestPage, error) {
+	if p.Topic == lead.Topic && after == "" {
+		s.freeze()
+	}
+	return s.Store.Newest(c, p, after)
+}
+
 // submitSteadily submits a job every 50 ms for the given time.
 func (t *trial) submitSteadily(d time.Duration) {
 	s := &load.JobGenerator{
