--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -32,7 +32,7 @@
 
 // Ready implements sched.Desk.
 func (e *Entry) Ready() bool {
-	return e.catalog.Load() != nil && e.controllers.Load() != nil && !e.leaving.Load()
+	return e.catalog.Load() != nil && e.controllers.Load() != nil && !e.leaving.Load() && !e.relieved()
 }
 
 // Submit implements sched.Desk.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rank"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
@@ -78,6 +79,8 @@
 	inFlight    atomic.Int64
 	settings    atomic.Pointer[settings]
 	usage       usage
+	reliefMu    sync.Mutex
+	relief      rank.Relief
 }
 
 // settings holds what Reload sets.
--- a/internal/process/entry/move.go
+++ b/internal/process/entry/move.go
@@ -28,6 +28,10 @@
 	// maxMoveProofAge is the age of the last proof from the store above which no move is
 	// begun. A planner appends at least every 500 ms.
 	maxMoveProofAge = time.Second
+	// readyLifetime is the age of an instance's last ping up to which it counts as ready,
+	// and maxReadyWait the longest wait of a planner's message there.
+	readyLifetime = 5 * time.Second
+	maxReadyWait  = 200 * time.Millisecond
 )
 
 // placement decides for one term whether the cell should move. It is safe for concurrent
@@ -82,6 +86,46 @@
 	return p.mover.Decide(now, self, out)
 }
 
+// readyOthers returns how many of the given instances have pinged this one lately, aren't
+// leaving and have no planner that is behind, and whether the planner here is behind.
+func (p *placement) readyOthers(now time.Time, all []peers.Instance) (ready int, behind bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, i := range all {
+		l, heard := p.loads[i.ID]
+		if heard && now.Sub(l.at) < readyLifetime && !l.Leaving && l.Wait <= maxReadyWait {
+			ready++
+		}
+	}
+	return ready, p.mover.Behind(now)
+}
+
+// relieved reports whether this instance should say that it isn't ready, since its planner
+// is behind and others of its data centre can take the callers.
+func (e *Entry) relieved() bool {
+	controllers := e.controllers.Load()
+	if controllers == nil {
+		return false
+	}
+	now := e.Clock.Now()
+	var near []peers.Instance
+	for _, i := range e.directory.Instances() {
+		if i.DataCentre == e.Self.DataCentre {
+			near = append(near, i)
+		}
+	}
+	anyBehind, others := false, len(near)
+	for _, s := range *controllers {
+		if p := s.placement.Load(); p != nil {
+			ready, behind := p.readyOthers(now, near)
+			anyBehind, others = anyBehind || behind, min(others, ready)
+		}
+	}
+	e.reliefMu.Lock()
+	defer e.reliefMu.Unlock()
+	return e.relief.Due(now, anyBehind, others)
+}
+
 // watchPlacement moves the cell when that is due, until the term of the leader has ended.
 func (k *cellController) watchPlacement(c context.Context, l *lead.Leader, p *placement) {
 	e := k.entry
--- a/pkg/rank/mover.go
+++ b/pkg/rank/mover.go
@@ -83,8 +83,8 @@
 	return m.reports
 }
 
-// behind reports whether messages have waited for too long in most of the last periods.
-func (m *Mover) behind(now time.Time) bool {
+// Behind reports whether messages have waited for too long in most of the last periods.
+func (m *Mover) Behind(now time.Time) bool {
 	n := 0
 	for _, r := range m.expire(now) {
 		if r.behind {
@@ -97,7 +97,7 @@
 // Decide returns the instance to which the cell should move now, with the reason, or an
 // empty id. The peers are in the order of Sort. It is to be called several times a second.
 func (m *Mover) Decide(now time.Time, self Candidate, peers []Peer) (sched.InstanceID, string) {
-	behind := m.behind(now)
+	behind := m.Behind(now)
 	var target sched.InstanceID
 	var why string
 	better := map[sched.InstanceID]time.Time{}
