--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/busy"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/daemon"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/entry"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
@@ -143,6 +144,8 @@
 		WorkersPerCell: x.WorkersPerCell,
 		AgentsFrom:     x.AgentsFrom,
 		DataCentres:    slices.Sorted(maps.Keys(s.Regions)),
+
+		UsedProcessorTime: busy.ProcessorTime,
 	}
 	e.Reload(x.plannerOptions(s), s.Bounds.Grace)
 	parts := []struct {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/evac"
+	"github.com/parsleybarrow/parsleybarrow/pkg/rank"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 	"github.com/parsleybarrow/parsleybarrow/pkg/turns"
 )
@@ -55,6 +56,9 @@
 	// Spend emulates the processor time of the planners here, see lead.Leader. It is nil on
 	// a real processor.
 	Spend func(before, after cell.Stats)
+	// UsedProcessorTime returns the processor time that the process has used so far. It may
+	// be nil; other instances then don't know how busy this one is.
+	UsedProcessorTime func() (time.Duration, error)
 	// LinesDropped returns the number of log lines dropped so far. It may be nil.
 	LinesDropped func() int64
 	// WorkersPerCell is the number of workers per cell from which the number of
@@ -85,6 +89,9 @@
 	inFlight    atomic.Int64
 	settings    atomic.Pointer[settings]
 	gates       gates
+	usage       usage
+	reliefMu    sync.Mutex
+	relief      rank.Relief
 }
 
 // settings holds what Reload sets.
