Follow the hint of a planner that has stopped

While a planner counts as lost, only checks are sent to it, and their answers name its successor; the directory took it only from calls. An instance whose term has ended no longer names itself as the planner, which made others take it for one that can't write, and sends its own calls to the next one at once.

--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -183,7 +182,7 @@
 
 // planner returns the planner that calls for the cell are sent to.
 func (e *Entry) planner(cell int) target {
-	if l := e.lead(cell); l != nil {
+	if l := e.lead(cell); l != nil && !l.Ended() {
 		return target{term: l.Number(), local: l}
 	}
 	p, known := e.directory.Planner(cell)
@@ -234,10 +233,6 @@
 	if !t.request.reads && !relay.HadNoEffect(err) {
 		t.unknown, t.unknownTerm = true, max(t.unknownTerm, p.term)
 	}
-	var moved *relay.NotPlannerError
-	if errors.As(err, &moved) && moved.Known {
-		t.entry.directory.UpdatePlanner(moved.Hint)
-	}
 	g.failed(c, p, err)
 	return false
 }
--- a/internal/process/entry/gate.go
+++ b/internal/process/entry/gate.go
@@ -133,6 +133,7 @@
 
 // failed records that an attempt with the context has ended without an answer.
 func (g *cellGate) failed(c context.Context, p target, err error) {
+	g.follow(err)
 	replaced := g.entry.planner(g.cell).term > p.term
 	g.update(func(now time.Time) {
 		g.gate.Ended()
@@ -146,6 +147,14 @@
 	})
 }
 
+// follow updates the directory if the error names the planner.
+func (g *cellGate) follow(err error) {
+	var moved *relay.NotPlannerError
+	if errors.As(err, &moved) && moved.Known {
+		g.entry.directory.UpdatePlanner(moved.Hint)
+	}
+}
+
 // unproven reports whether a planner has refused to answer, although it knows of no later
 // term, since it has no recent proof from the store.
 func unproven(p target, err error) bool {
@@ -153,7 +162,7 @@
 	if errors.As(err, &moved) {
 		return moved.Known && p.term > 0 && moved.Hint.Term == p.term
 	}
-	return p.local != nil && p.local.Waiting() && errors.Is(err, lead.ErrNotPlanner)
+	return p.local != nil && p.local.Waiting() && !p.local.Ended() && errors.Is(err, lead.ErrNotPlanner)
 }
 
 // probe asks the planner for the number of pending jobs, which changes nothing and waits in
@@ -171,6 +180,7 @@
 	default:
 		return
 	}
+	g.follow(err)
 	if err != nil && !unproven(p, err) {
 		return
 	}
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -105,8 +105,14 @@
 	return err == nil && pong.Plans(cell)
 }
 
-// Hint implements relay.Local.
-func (p localPlanners) Hint(cell int) (peers.Planner, bool) { return p.directory.Planner(cell) }
+// Hint implements relay.Local. This instance isn't named once its term has ended.
+func (p localPlanners) Hint(cell int) (peers.Planner, bool) {
+	planner, known := p.directory.Planner(cell)
+	if l := p.lead(cell); planner.ID == p.Self.ID && (l == nil || l.Ended()) {
+		return peers.Planner{}, false
+	}
+	return planner, known
+}
 
 // Catalog implements relay.Local.
 func (p localPlanners) Catalog(newerThan int64) (int64, []byte) {
--- a/internal/process/entry/refuse_test.go
+++ b/internal/process/entry/refuse_test.go
@@ -27,6 +27,7 @@
 type fakePlanner struct {
 	relay.Local
 	calls  atomic.Int64
+	hint   peers.Planner // of a planner whose term has ended
 	answer func(c context.Context) (sched.Verdict, error)
 }
 
@@ -45,7 +46,7 @@
 	return nil, err
 }
 
-func (p *fakePlanner) Hint(int) (peers.Planner, bool) { return peers.Planner{}, false }
+func (p *fakePlanner) Hint(int) (peers.Planner, bool) { return p.hint, p.hint.Term > 0 }
 
 // fakeNetwork carries calls to the planners by address. Other addresses refuse connections.
 type fakeNetwork map[string]*fakePlanner
@@ -248,6 +249,27 @@
 	}
 }
 
+// Guards against calls that wait for a read of the directory though the planner that has
+// stopped knows the next one, and against a call whose planner doesn't know its deadline.
+func TestCallsFollowAHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		r := newRefuseRig(t)
+		stopped := func(context.Context) (sched.Verdict, error) { return sched.Verdict{}, lead.ErrNotPlanner }
+		r.begin(0, 1, &fakePlanner{answer: stopped, hint: peers.Planner{Term: 2, ID: "entry-2", Address: "2"}})
+		r.network["2"] = &fakePlanner{answer: func(c context.Context) (sched.Verdict, error) {
+			deadline, set := c.Deadline()
+			i.True(set)
+			i.True(time.Until(deadline) > callTime-100*time.Millisecond && time.Until(deadline) <= callTime)
+			return acceptedVerdict, nil
+		}}
+		r.gates.of(r.Entry, 0).failed(t.Context(), target{term: 1, address: "1"}, lead.ErrNotPlanner) // the planner counts as lost
+		v, took := r.submit()
+		i.Equal(v.Code, sched.CodeAccepted)
+		i.True(took <= 100*time.Millisecond)
+	})
+}
+
 // Guards against a state that couldn't be read and is answered as an unknown outcome: the
 // call changes nothing.
 func TestAStateWithoutAnAnswerIsRefused(t *testing.T) {
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -220,6 +220,9 @@
 // Number returns the number of the term, 0 before it has begun.
 func (l *Leader) Number() sched.Offset { return l.termNumber }
 
+// Ended reports whether the term has ended. Calls have no effect from then on.
+func (l *Leader) Ended() bool { return l.finished.Load() }
+
 // Supersede ends the term because a later one has begun. Run then returns a
 // *SupersededError with that term.
 func (l *Leader) Supersede(by Term) {
