Withdraw jobs in the property test of the planner

The upheaval of the planner withdraws jobs that aren't part of a batch, and submits some of them again. No withdrawn job may start or be accepted, and each other task still starts.

--- a/pkg/cell/rig_test.go
+++ b/pkg/cell/rig_test.go
@@ -28,6 +28,8 @@
 	// records holds the newest value of each key, and before the same without the
 	// batch in flight.
 	records, before map[string][]byte
+	// commitTicket is the planner's Options.Commit, from the next planner on.
+	commitTicket func(cell.Ticket) bool
 	// ticket is the newest one that was given out.
 	ticket cell.Ticket
 }
@@ -52,7 +54,9 @@
 // succeed replaces the planner by one that begins the given term with the
 // restored jobs.
 func (r *rig) succeed(restored []*jobs.Job, term sched.Offset) {
-	r.planner, r.effects, r.flight = cell.New(r.now, restored, options(term)), cell.Effects{}, false
+	o := options(term)
+	o.Commit = r.commitTicket
+	r.planner, r.effects, r.flight = cell.New(r.now, restored, o), cell.Effects{}, false
 }
 
 // settle flushes the planner and collects its effects.
--- a/pkg/cell/waiting_test.go
+++ b/pkg/cell/waiting_test.go
@@ -28,6 +28,50 @@
 	submitted map[sched.JobID]sched.Job
 	tickets   map[cell.Ticket]sched.JobID
 	cancelled map[sched.JobID]bool
+	// committed holds the tickets whose jobs may be recorded, withdrawn those of callers that
+	// were told that their job isn't accepted.
+	committed, withdrawn map[cell.Ticket]bool
+}
+
+// commitOrDrop is Options.Commit.
+func (u *upheaval) commitOrDrop(t cell.Ticket) bool {
+	u.committed[t] = !u.withdrawn[t]
+	return u.committed[t]
+}
+
+// withdraw has a caller withdraw its job, and may submit it again.
+func (u *upheaval) withdraw() {
+	if u.jobs == 0 {
+		return
+	}
+	id := sched.JobID(fmt.Sprint("j", rapid.IntRange(1, u.jobs).Draw(u.draw, "withdrawn")))
+	for t, x := range u.tickets {
+		if x != id || u.committed[t] || u.withdrawn[t] {
+			continue
+		}
+		u.withdrawn[t] = true
+		if rapid.Bool().Draw(u.draw, "again") {
+			u.tickets[u.submit(u.submitted[id])] = id
+			u.settle()
+		}
+		return
+	}
+}
+
+// checkWithdrawn fails if a job runs whose submissions were all withdrawn.
+func (u *upheaval) checkWithdrawn() {
+	committed := map[sched.JobID]bool{}
+	for t, id := range u.tickets {
+		committed[id] = committed[id] || u.committed[t]
+		if u.withdrawn[t] && u.replies[t].Code == sched.CodeAccepted {
+			u.draw.Fatalf("the withdrawn job %s is accepted", id)
+		}
+	}
+	for _, s := range u.starts {
+		if id := s.Order.Task.Job; !committed[id] {
+			u.draw.Fatalf("the withdrawn job %s starts", id)
+		}
+	}
 }
 
 // listing returns the platform's entry of a worker.
@@ -298,7 +342,10 @@
 			copies: rapid.Bool().Draw(draw, "copies"), term: 1,
 		},
 		submitted: map[sched.JobID]sched.Job{}, tickets: map[cell.Ticket]sched.JobID{}, cancelled: map[sched.JobID]bool{},
+		committed: map[cell.Ticket]bool{}, withdrawn: map[cell.Ticket]bool{},
 	}
+	u.commitTicket = u.commitOrDrop
+	u.succeed(nil, u.term)
 	for n := range 3 {
 		u.workers[worker(n+1).ID] = &modelWorker{life: 1, last: map[sched.TaskRef]sched.RunNumber{}}
 	}
@@ -306,12 +353,13 @@
 	events := []func(){
 		u.answerStart, u.answerStart, u.answerStart, u.lateStart, u.answerStop, u.endShape, u.endShape, u.report, u.report, u.report,
 		u.append, u.append, u.wait, u.wait, u.submitShape, u.submitShape, u.cancelShape, u.restartWorker, u.outage, u.silence,
-		u.replacePlanner, u.settleAll, u.settleAll,
+		u.replacePlanner, u.settleAll, u.settleAll, u.withdraw, u.withdraw,
 	}
 	for _, k := range rapid.SliceOfN(rapid.IntRange(0, len(events)-1), 20, 150).Draw(draw, "events") {
 		u.lapse()
 		events[k]()
 		u.collect()
+		u.checkWithdrawn()
 	}
 	u.calm()
 	u.checkNothingWaits()
--- a/pkg/cell/withdraw_test.go
+++ b/pkg/cell/withdraw_test.go
@@ -15,10 +15,9 @@
 func withdrawing(t *testing.T) (*rig, map[cell.Ticket]bool) {
 	t.Helper()
 	withdrawn := map[cell.Ticket]bool{}
-	o := options(1)
-	o.Commit = func(k cell.Ticket) bool { return !withdrawn[k] }
 	r := newRig(t)
-	r.planner = cell.New(epoch, nil, o)
+	r.commitTicket = func(k cell.Ticket) bool { return !withdrawn[k] }
+	r.succeed(nil, 1)
 	r.list(worker(1))
 	return r, withdrawn
 }
