--- a/internal/process/guard/guard.go
+++ b/internal/process/guard/guard.go
@@ -91,8 +91,8 @@
 // Listener returns a listener whose connections are limited. The given one is closed with it.
 func (g *Guard) Listener(l net.Listener) net.Listener {
 	if t, ok := l.(*net.TCPListener); ok && g.ReceiveBuffer > 0 {
-		// Connections inherit the size. Without it the kernel's default applies.
-		_ = setReceiveBuffer(t, g.ReceiveBuffer)
+		// Without the limits the kernel's defaults apply.
+		_ = limitKernel(t, g.ReceiveBuffer, budget.Backlog)
 	}
 	return &listener{l, g}
 }
--- a/pkg/budget/limits.go
+++ b/pkg/budget/limits.go
@@ -77,7 +77,7 @@
 	small.Connections = max(minSmallConnections, min(sockets/smallSocketPart, int(small.Bytes/connectionPart/ConnectionCost)))
 	l.Metrics, l.Probes = small, small
 	if known {
-		received := int64(l.Callers.Connections*CallerReceiveBuffer + l.Peers.Connections*PeerReceiveBuffer)
+		received := int64((l.Callers.Connections+Backlog)*CallerReceiveBuffer + (l.Peers.Connections+Backlog)*PeerReceiveBuffer)
 		l.Runtime = max(memory-max(memory/5, outsideRuntime)-received, memory/2)
 	}
 	return l
@@ -89,6 +89,9 @@
 	CallerReceiveBuffer = 32 << 10
 	// PeerReceiveBuffer is that of peers' connections, for 3.2 MB/s.
 	PeerReceiveBuffer = 64 << 10
+	// Backlog is the number of connections of a listener that wait to be accepted. An
+	// instance that gets no processor time for 100 ms has up to 100 new ones by then.
+	Backlog = 128
 	// ConnectionCost is the memory of an open connection of HTTP/1, in bytes: two buffers
 	// of 4 KiB and one of 2, up to two goroutines, the objects of net/http, and half of
 	// the kernel's buffer.
