--- a/internal/process/cli/entry.go
+++ b/internal/process/cli/entry.go
@@ -16,7 +16,6 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/process/entry"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/sink"
-	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/clock"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -26,9 +25,10 @@
 // entryCmd runs one entry instance on the users' platform, which passes
 // addresses and limits in a settings file.
 type entryCmd struct {
-	WorkersPerCell int    `default:"1024" min:"1" max:"10000" help:"Workers for which one cell is laid out, at the first start of the system."`
-	AgentsFrom     int    `default:"128" min:"0" max:"10000" help:"Workers of a cell from which on other instances carry out its planner's orders; 0 for never."`
-	LogLevel       string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to log: debug, info, warn or error."`
+	WorkersPerCell int `default:"1024" min:"1" max:"10000" help:"Workers for which one cell is laid out, at the first start of the system."`
+	AgentsFrom     int `default:"128" min:"0" max:"10000" help:"Workers of a cell from which on other instances carry out its planner's orders; 0 for never."`
+	requestLimits
+	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to log: debug, info, warn or error."`
 }
 
 // Run implements the command.
@@ -120,6 +120,10 @@
 // entry returns an instance with all clients of the platform and with its
 // listeners open. The incarnation is the time of the start in nanoseconds.
 func (x *entryCmd) entry(l *zap.Logger, s users.Settings) (*entry.Entry, error) {
+	limits, err := x.of(s.Machine)
+	if err != nil {
+		return nil, err
+	}
 	k := clock.NewSteady()
 	client := users.NewClient(users.WorkerConnections)
 	e := &entry.Entry{
@@ -135,7 +139,7 @@
 		Advisor:        &users.Advisor{Client: client, Address: s.Advice},
 		Clock:          k,
 		Log:            l.With(zap.String("instance", string(s.ID))),
-		Budget:         budget.Of(s.Machine.Memory, s.Machine.Descriptors),
+		Budget:         limits,
 		WorkersPerCell: x.WorkersPerCell,
 		AgentsFrom:     x.AgentsFrom,
 	}
