Add explain: where a job's tasks run, would go now, or why they wait

Cause: log lines tell why a step waits, and metrics how many do. Nobody could ask about a job at hand, or about one before it is sent.

The planner answers for a known job or for one described by flags, and changes nothing. Steps, workers and the rate are bounded.

--- a/internal/emu/site/site.go
+++ b/internal/emu/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/emu/world"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/entry"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peers"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/relay"
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
@@ -133,6 +134,15 @@
 	s.loops.Wait()
 }
 
+// Explain asks an instance for the explanation of a job, as another instance would.
+func (s *Site) Explain(c context.Context, id sched.InstanceID, q relay.Question) (relay.Answer, error) {
+	s.mu.Lock()
+	p := s.processes[id]
+	s.mu.Unlock()
+	client := relay.Client{HTTP: &http.Client{Transport: &peerTransport{s, p}}}
+	return client.Explain(c, address(id), q)
+}
+
 // Cut makes messages from one instance to another get lost, or arrive again if cut
 // is false: calls in this direction, and answers to calls in the other one.
 func (s *Site) Cut(from, to sched.InstanceID, cut bool) {
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -35,6 +35,7 @@
 	Submit      submitCmd      `cmd:"" help:"Submit a batch task."`
 	Cancel      cancelCmd      `cmd:"" help:"Cancel a batch task."`
 	Timeline    timelineCmd    `cmd:"" help:"Show the merged events of all instances."`
+	Explain     explainCmd     `cmd:"" help:"Explain where the tasks of a job run, would go now, or why they wait. Nothing is sent or changed."`
 	DeclareDead declareDeadCmd `cmd:"" help:"Assert that nothing runs any more on an instance or in a data centre."`
 	Demo        demoCmd        `cmd:"" help:"Run three entry instances against stand-ins in this process."`
 	Soak        soakCmd        `cmd:"" help:"Drive load against running instances; scripts/soak starts them."`
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -65,6 +65,31 @@
 	return l.Pending(c)
 }
 
+// Explain implements relay.Local.
+func (p localPlanners) Explain(c context.Context, q relay.Question) (relay.Answer, error) {
+	out := relay.Answer{Instance: p.Self.ID}
+	n := p.directory.Cells()
+	if n == 0 {
+		return out, lead.ErrNotPlanner
+	}
+	out.Cell = CellOf(string(q.ID), n)
+	if q.Job != nil {
+		r, found, known := p.Match(q.Host, q.Path)
+		if !found || !known {
+			return out, nil
+		}
+		j := q.Job.WithQueue(r.Queue)
+		q.Job = &j
+	}
+	l := p.lead(out.Cell)
+	if l == nil {
+		return out, lead.ErrNotPlanner
+	}
+	var err error
+	out.Explanation, out.Known, err = l.Explain(c, q.ID, q.Job)
+	return out, err
+}
+
 // Ping implements relay.Local.
 func (p localPlanners) Ping(c context.Context, q relay.Ping) relay.Pong {
 	out := relay.Pong{ID: p.Self.ID, Incarnation: p.Self.Incarnation, Leaving: p.leaving.Load()}
--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -175,6 +175,18 @@
 	return out, nil
 }
 
+// Explain explains a job of the planner, or one that wasn't submitted. It returns false as
+// Planner.Explain does.
+func (l *Leader) Explain(c context.Context, id sched.JobID, other *sched.Job) (cell.Explanation, bool, error) {
+	var e cell.Explanation
+	var known bool
+	err := l.ask(c, workExplain, func() { e, known = l.planner.Explain(l.Clock.Now(), id, other) })
+	if err != nil {
+		return cell.Explanation{}, false, err
+	}
+	return e, known, nil
+}
+
 // WorkerListed tells the planner of a new or changed entry in the platform's list of
 // workers.
 func (l *Leader) WorkerListed(w sched.Worker) {
--- a/internal/process/lead/work.go
+++ b/internal/process/lead/work.go
@@ -26,6 +26,7 @@
 	workCancel   workKind = "cancel"
 	workState    workKind = "state"
 	workPending  workKind = "pending"
+	workExplain  workKind = "explain"
 	// workPlace places waiting tasks, workFlush encodes records, and workEffects hands
 	// appends, replies and orders on.
 	workPlace   workKind = "place"
--- a/internal/process/relay/server.go
+++ b/internal/process/relay/server.go
@@ -70,6 +70,8 @@
 	Cancel(c context.Context, cell int, id sched.JobID) (sched.Verdict, error)
 	Pending(c context.Context, cell int) (map[sched.QueueName]int, error)
 	Ping(c context.Context, p Ping) Pong
+	// Explain explains a job, and returns its cell also with ErrNotPlanner.
+	Explain(c context.Context, q Question) (Answer, error)
 	// Hint returns the planner of the cell as far as this instance knows, and
 	// whether it knows one.
 	Hint(cell int) (peers.Planner, bool)
--- a/internal/wire/pb/pbconnect/relay.connect.go
+++ b/internal/wire/pb/pbconnect/relay.connect.go
@@ -46,6 +46,8 @@
 	RelayPingProcedure = "/parsleybarrow.Relay/Ping"
 	// RelayCatalogProcedure is the fully-qualified name of the Relay's Catalog RPC.
 	RelayCatalogProcedure = "/parsleybarrow.Relay/Catalog"
+	// RelayExplainProcedure is the fully-qualified name of the Relay's Explain RPC.
+	RelayExplainProcedure = "/parsleybarrow.Relay/Explain"
 )
 
 // RelayClient is a client for the parsleybarrow.Relay service.
@@ -56,6 +58,7 @@
 	Pending(context.Context, *pb.RelayPendingRequest) (*pb.RelayPendingAnswer, error)
 	Ping(context.Context, *pb.RelayPing) (*pb.RelayPong, error)
 	Catalog(context.Context, *pb.RelayCatalogRequest) (*pb.RelayCatalog, error)
+	Explain(context.Context, *pb.RelayExplainRequest) (*pb.RelayExplanation, error)
 }
 
 // NewRelayClient constructs a client for the parsleybarrow.Relay service. By default, it uses the
@@ -105,6 +108,12 @@
 			connect.WithSchema(relayMethods.ByName("Catalog")),
 			connect.WithClientOptions(opts...),
 		),
+		explain: connect.NewClient[pb.RelayExplainRequest, pb.RelayExplanation](
+			httpClient,
+			baseURL+RelayExplainProcedure,
+			connect.WithSchema(relayMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -116,6 +125,7 @@
 	pending *connect.Client[pb.RelayPendingRequest, pb.RelayPendingAnswer]
 	ping    *connect.Client[pb.RelayPing, pb.RelayPong]
 	catalog *connect.Client[pb.RelayCatalogRequest, pb.RelayCatalog]
+	explain *connect.Client[pb.RelayExplainRequest, pb.RelayExplanation]
 }
 
 // Submit calls parsleybarrow.Relay.Submit.
@@ -172,6 +182,15 @@
 	return nil, err
 }
 
+// Explain calls parsleybarrow.Relay.Explain.
+func (c *relayClient) Explain(ctx context.Context, req *pb.RelayExplainRequest) (*pb.RelayExplanation, error) {
+	response, err := c.explain.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // RelayHandler is an implementation of the parsleybarrow.Relay service.
 type RelayHandler interface {
 	Submit(context.Context, *pb.RelaySubmit) (*pb.RelayVerdict, error)
@@ -180,6 +199,7 @@
 	Pending(context.Context, *pb.RelayPendingRequest) (*pb.RelayPendingAnswer, error)
 	Ping(context.Context, *pb.RelayPing) (*pb.RelayPong, error)
 	Catalog(context.Context, *pb.RelayCatalogRequest) (*pb.RelayCatalog, error)
+	Explain(context.Context, *pb.RelayExplainRequest) (*pb.RelayExplanation, error)
 }
 
 // NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -225,6 +245,12 @@
 		connect.WithSchema(relayMethods.ByName("Catalog")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayExplainHandler := connect.NewUnaryHandlerSimple(
+		RelayExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(relayMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/parsleybarrow.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelaySubmitProcedure:
@@ -239,6 +265,8 @@
 			relayPingHandler.ServeHTTP(w, r)
 		case RelayCatalogProcedure:
 			relayCatalogHandler.ServeHTTP(w, r)
+		case RelayExplainProcedure:
+			relayExplainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -271,3 +299,7 @@
 func (UnimplementedRelayHandler) Catalog(context.Context, *pb.RelayCatalogRequest) (*pb.RelayCatalog, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleybarrow.Relay.Catalog is not implemented"))
 }
+
+func (UnimplementedRelayHandler) Explain(context.Context, *pb.RelayExplainRequest) (*pb.RelayExplanation, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleybarrow.Relay.Explain is not implemented"))
+}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -144,6 +144,8 @@
 	// placedAt is when placeWaiting last passed over the waiting steps, and
 	// fillersPlacedAt when it last passed over those of fillers.
 	placedAt, fillersPlacedAt time.Time
+	// explainedAt is when Explain last explained a job.
+	explainedAt time.Time
 	// delay is how far the planner is behind, see SetDelay.
 	delay time.Duration
 }
