--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -156,6 +156,8 @@
 	evacuations evacuations
 	// recovery is the return of load to data centres whose evacuation has ended.
 	recovery recovery
+	// explainedAt is when Explain last explained a job.
+	explainedAt time.Time
 	// delay is how far the planner is behind, see SetDelay.
 	delay time.Duration
 }
