--- a/internal/process/lead/evacuate.go
+++ b/internal/process/lead/evacuate.go
@@ -21,13 +21,13 @@
 func (l *Leader) EvacuatedRuns() int64 { return l.evacuatedRuns.Load() }
 
 // readEvacuations returns the evacuations as of the newest read of the operator's records,
-// and whether starts are held since that is too old.
+// and whether starts are held since that is too old, which isn't so without a limit.
 func (l *Leader) readEvacuations(now time.Time) (*evac.Set, bool) {
-	if l.Evacuations == nil || l.Options.EvacuationLimit == 0 {
+	if l.Evacuations == nil {
 		return nil, false
 	}
-	s := l.Evacuations()
-	return s, s.Held(now, l.Options.EvacuationLimit)
+	s, limit := l.Evacuations(), l.Options.EvacuationLimit
+	return s, limit > 0 && s.Held(now, limit)
 }
 
 // mayStartIn reports whether a start order to a data centre may be sent. It is called just
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -48,8 +48,7 @@
 	// a real one.
 	Spend func(before, after cell.Stats)
 	// Evacuations returns the evacuations by the newest read of the operator's records, nil
-	// before the first one. If it is nil, there are none. It isn't called if
-	// Options.EvacuationLimit is 0.
+	// before the first one. If it is nil, there are none.
 	Evacuations func() *evac.Set
 	// OnAppendOverdue is called, in a goroutine of its own, when an append takes so long
 	// that the instance may not reach the store. There is at most one call at a
