--- a/internal/process/lead/evacuate.go
+++ b/internal/process/lead/evacuate.go
@@ -21,7 +21,7 @@
 func (l *Leader) EvacuatedRuns() int64 { return l.evacuatedRuns.Load() }
 
 // readEvacuations returns the evacuations as of the newest read of the operator's records,
-// and whether starts are held since that is too old.
+// and whether starts are held since that is too old, which isn't so without a limit.
 func (l *Leader) readEvacuations(now time.Time) (*evac.Set, bool) {
 	if l.Evacuations == nil {
 		return nil, false
