Don't withdraw a submission that joins a known job

A second submission of a job that is part of an append could be withdrawn at its deadline and its caller told that the job isn't accepted, though the job was recorded. The planner commits the call when it finds the job.

Test: TestAWithdrawnJobThatComesAgainIsANewOne asks for the third call. Tests of pkg/cell on withdrawals and lead pass.

--- a/pkg/cell/call.go
+++ b/pkg/cell/call.go
@@ -19,6 +19,10 @@
 // is durable. A job with a known id is acknowledged and not added again.
 func (p *Planner) Submit(now time.Time, t Ticket, s sched.Job) {
 	if j := p.jobs[s.ID]; j != nil && p.keep(j) {
+		if !p.commitTicket(t) {
+			p.refuse(t, s, withdrawnVerdict)
+			return
+		}
 		p.replyRecorded(j, t)
 		return
 	}
--- a/pkg/cell/planner.go
+++ b/pkg/cell/planner.go
@@ -51,10 +51,10 @@
 	// RecordLimit and BatchLimit are the sizes of the largest record and of the largest
 	// batch that the store takes, in bytes, 0 if there is no limit.
 	RecordLimit, BatchLimit int
-	// Commit is called once for each new job, before its record becomes part of a batch or
-	// another caller is told of it. If it returns false, the caller with the ticket has been
-	// told that the job isn't accepted, and the planner drops it. Without Commit every job
-	// is kept.
+	// Commit is called once for each submission, before the record of a new job becomes part
+	// of a batch or another caller is told of it, and at once for a known job. If it returns
+	// false, the caller with the ticket has been told that its job isn't accepted, and the
+	// planner drops a new one. Without Commit every job is kept.
 	Commit func(Ticket) bool
 	Log    *zap.Logger
 }
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -16,10 +16,14 @@
 	if !j.unrecorded || j.committed {
 		return true
 	}
-	j.committed = p.options.Commit == nil || p.options.Commit(j.ticket)
+	j.committed = p.commitTicket(j.ticket)
 	return j.committed
 }
 
+// commitTicket reports whether the caller with the ticket still waits for the planner's
+// answer, and keeps it from being told anything else.
+func (p *Planner) commitTicket(t Ticket) bool { return p.options.Commit == nil || p.options.Commit(t) }
+
 // keep is commit for a job that a further call names. A job whose caller has withdrawn it
 // is dropped, so that the call finds none.
 func (p *Planner) keep(j *job) bool {
--- a/pkg/cell/withdraw_test.go
+++ b/pkg/cell/withdraw_test.go
@@ -11,12 +11,18 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
-// withdrawing is a rig whose planner asks whether callers have withdrawn their jobs.
-func withdrawing(t *testing.T) (*rig, map[cell.Ticket]bool) {
+// withdrawing is a rig whose planner asks whether callers have withdrawn their jobs, and
+// the set of those. The tickets that it asks about are added to asked unless that is nil.
+func withdrawing(t *testing.T, asked map[cell.Ticket]bool) (*rig, map[cell.Ticket]bool) {
 	t.Helper()
 	withdrawn := map[cell.Ticket]bool{}
 	r := newRig(t)
-	r.commitTicket = func(k cell.Ticket) bool { return !withdrawn[k] }
+	r.commitTicket = func(k cell.Ticket) bool {
+		if asked != nil {
+			asked[k] = true
+		}
+		return !withdrawn[k]
+	}
 	r.succeed(nil, 1)
 	r.list(worker(1))
 	return r, withdrawn
@@ -26,7 +32,7 @@
 // against one that is dropped once its record is on its way.
 func TestAWithdrawnJobIsNeverRecorded(t *testing.T) {
 	i := is.New(t)
-	r, withdrawn := withdrawing(t)
+	r, withdrawn := withdrawing(t, nil)
 	first := r.submit(job("a", step()))
 	r.settle()
 	i.True(r.flight)
@@ -54,7 +60,8 @@
 // first.
 func TestAWithdrawnJobThatComesAgainIsANewOne(t *testing.T) {
 	i := is.New(t)
-	r, withdrawn := withdrawing(t)
+	asked := map[cell.Ticket]bool{}
+	r, withdrawn := withdrawing(t, asked)
 	r.submit(job("z", step()))
 	r.settle() // further jobs wait for the next batch
 	first := r.submit(job("a", step()))
@@ -63,6 +70,7 @@
 	again.Payload = "again"
 	second := r.submit(again)
 	third := r.submit(job("a", step())) // joins the second, which can't be withdrawn any more
+	i.True(asked[third])                // nor can the third be told that the job isn't accepted
 	withdrawn[second], withdrawn[third] = true, true
 	r.commit()
 	i.True(r.replies[first].Code.Outcome() == sched.OutcomeRefusedNotRun)
@@ -74,7 +82,7 @@
 // Guards against a cancel that finds a withdrawn job and records it as cancelled.
 func TestACancelDoesNotFindAWithdrawnJob(t *testing.T) {
 	i := is.New(t)
-	r, withdrawn := withdrawing(t)
+	r, withdrawn := withdrawing(t, nil)
 	r.submit(job("z", step()))
 	r.settle()
 	withdrawn[r.submit(job("a", step()))] = true
