Limit the resources of clients' requests at the listeners of serve

Cause: the listeners of serve had timeouts and sizes, but no bound on connections, memory and the rate of bodies. A body of declared length was allocated before any of it had arrived.

A body counts as being received from its first read on, so that a client isn't blamed while its request waits.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -15,8 +15,10 @@
 	"github.com/parsleybarrow/parsleybarrow/internal/conn/pool"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/claims"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/gate"
+	"github.com/parsleybarrow/parsleybarrow/internal/process/guard"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/peer"
 	"github.com/parsleybarrow/parsleybarrow/internal/request/proxy"
+	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 	"github.com/parsleybarrow/parsleybarrow/pkg/event"
 	"github.com/parsleybarrow/parsleybarrow/pkg/quota"
 	"github.com/parsleybarrow/parsleybarrow/pkg/route"
@@ -64,6 +66,9 @@
 	// defaults.
 	Silence    time.Duration
 	Hysteresis time.Duration
+	// Budget bounds what the clients of the listeners may take. If it is zero, Run sets
+	// that of a machine whose limits are unknown.
+	Budget budget.Limits
 	// SkipDuplicateCheck sends unrepeatable requests without a claim. The demo
 	// sets it to show that its observers detect duplicate runs.
 	SkipDuplicateCheck bool
@@ -159,21 +164,29 @@
 
 // serve starts the servers for callers, peers and admin requests.
 func (d *Daemon) serve() []*http.Server {
+	if d.Budget == (budget.Limits{}) {
+		d.Budget = budget.Of(0, 0)
+	}
+	callers := d.newGuard("callers", d.Budget.Callers, budget.CallerReceiveBuffer)
+	peers := d.newGuard("peers", d.Budget.Peers, budget.PeerReceiveBuffer)
+	operators := d.newGuard("admin", d.Budget.Metrics, budget.CallerReceiveBuffer)
 	parts := []struct {
 		use      string
 		listener net.Listener
+		guard    *guard.Guard
 		server   *http.Server
 	}{
-		{"callers", d.CallerListener, newHTTPServer(d.callerHandler(), 0)},
-		{"peers", d.PeerListener, newHTTPServer(d.peerHandler(), adminTimeout)},
-		{"admin", d.AdminListener, newHTTPServer(d.adminHandler(), adminTimeout)},
+		{"callers", d.CallerListener, callers, newHTTPServer(callers, d.callerHandler(), 0)},
+		{"peers", d.PeerListener, peers, newHTTPServer(peers, d.peerHandler(), adminTimeout)},
+		{"admin", d.AdminListener, operators, newHTTPServer(operators, d.adminHandler(), adminTimeout)},
 	}
 	parts[1].server.Protocols = peer.Protocols()
+	d.spawn(func(c context.Context) { guard.Run(c, callers, peers, operators) })
 	var servers []*http.Server
 	for _, p := range parts {
 		servers = append(servers, p.server)
 		go func() {
-			err := p.server.Serve(p.listener)
+			err := p.server.Serve(p.guard.Listener(p.listener))
 			if err != nil && err != http.ErrServerClosed && !d.isKilled() {
 				d.fail(&AddressError{Purpose: p.use, Address: p.listener.Addr().String(), Err: err})
 			}
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -8,6 +8,9 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/process/guard"
+	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 )
 
 const (
@@ -59,18 +62,21 @@
 	return nil, &AddressError{Purpose: use, Address: address, Err: err}
 }
 
-// newHTTPServer returns a server with the time limits that all listeners share.
-// Reading a whole request and writing its answer are each bounded by whole; 0
+// newHTTPServer returns a server with the time limits that all listeners share, and the
+// guard's. Reading a whole request and writing its answer are each bounded by whole; 0
 // means no limit. Callers' requests use 0, as the deadline of each request
 // bounds them.
-func newHTTPServer(h http.Handler, whole time.Duration) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       whole,
-		WriteTimeout:      whole,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+func newHTTPServer(g *guard.Guard, h http.Handler, whole time.Duration) *http.Server {
+	s := g.Server(h)
+	s.ReadHeaderTimeout, s.ReadTimeout, s.WriteTimeout, s.IdleTimeout = headerTimeout, whole, whole, idleTimeout
+	return s
+}
+
+// newGuard returns the guard of a listener.
+func (d *Daemon) newGuard(use string, share budget.Share, receiveBuffer int) *guard.Guard {
+	return &guard.Guard{
+		Name: use, Share: share, Limits: d.Budget, HeaderBytes: maxHeaderBytes, Peers: use == "peers",
+		ReceiveBuffer: receiveBuffer, Log: d.Logger,
 	}
 }
 
--- a/internal/process/guard/handler.go
+++ b/internal/process/guard/handler.go
@@ -34,7 +34,7 @@
 		}
 		h.next.ServeHTTP(w, r)
 	default:
-		if !c.enter(budget.Body) {
+		if !c.enter(budget.Deciding) {
 			panic(http.ErrAbortHandler)
 		}
 		b := &body{ReadCloser: r.Body, conn: c, length: r.ContentLength}
@@ -60,8 +60,10 @@
 	// length is the declared length, -1 if there is none.
 	length, read, held int64
 	stream             bool
-	ended              bool
-	err                error
+	// begun is set by the first read: a client can't be blamed while its body isn't
+	// read. ended is set at the end of the body.
+	begun, ended bool
+	err          error
 }
 
 // Read implements io.Reader. Its error is a *budget.RefusedError if there is no memory or the
@@ -70,6 +72,10 @@
 	if b.err != nil {
 		return 0, b.err
 	}
+	if !b.begun && !b.begin() {
+		b.err = &budget.RefusedError{RetryAfter: retryAfter()}
+		return 0, b.err
+	}
 	if more := budget.BodyCost(b.length, b.read) - b.held; more > 0 {
 		if !b.conn.guard.reserve(b.conn, more) {
 			b.err = &budget.RefusedError{RetryAfter: retryAfter()}
@@ -94,6 +100,17 @@
 	return n, err
 }
 
+// begin tells that the body is being received. It returns false if the connection is
+// being closed.
+func (b *body) begin() bool {
+	b.begun = true
+	if b.stream {
+		b.conn.reading.Add(1)
+		return !b.conn.closing.Load()
+	}
+	return b.conn.enter(budget.Body)
+}
+
 // decide tells that the body has arrived. It returns false if the connection is being
 // closed.
 func (b *body) decide() bool {
@@ -130,9 +147,8 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	c.reading.Add(1)
 	defer func() {
-		if !b.ended {
+		if b.begun && !b.ended {
 			c.reading.Add(-1)
 		}
 	}()
--- a/internal/request/proxy/read.go
+++ b/internal/request/proxy/read.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"github.com/parsleybarrow/parsleybarrow/pkg/budget"
 	"github.com/parsleybarrow/parsleybarrow/pkg/dedup"
 	"github.com/parsleybarrow/parsleybarrow/pkg/retry"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
@@ -214,15 +215,21 @@
 		return refusal{}
 	}
 	body := http.MaxBytesReader(w, r.Body, limit)
-	var err error
-	if r.ContentLength > 0 {
+	// The memory for the body is reserved by its first read, which takes no buffer yet.
+	_, err := r.Body.Read(nil)
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+	case r.ContentLength > 0:
 		q.Body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(body, q.Body)
-	} else {
+	default:
 		q.Body, err = io.ReadAll(body)
 	}
 	var tooLarge *http.MaxBytesError
+	var refused *budget.RefusedError
 	switch {
+	case errors.As(err, &refused) && !refused.Slow:
+		return refusal{code: sched.CodeOverloaded}
 	case errors.As(err, &tooLarge):
 		return refusal{code: sched.CodeTooLarge}
 	case err != nil:
