Don't move a slow run to room that is held

Cause: a straggler was stopped when another worker had free room, also where the look-ahead placement holds it for others. Its task would then wait.

Change: with the feature on, only room that the plan leaves counts. Off, nothing changes.

--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -198,10 +198,17 @@
 	return time.Duration(donePercent / rates[len(rates)/2] * float64(time.Second))
 }
 
-// hasRoomElsewhere reports whether another worker has room for the run.
+// hasRoomElsewhere reports whether another worker has room for the run, beside what the
+// look-ahead placement holds.
 func (p *Planner) hasRoomElsewhere(now time.Time, h *hosts.Host, s *hosts.Slot, j *job) bool {
+	w := &waitingStep{job: j, occurrence: j.Occurrences[s.Task.Occurrence], step: s.Task.Step, isCopy: true}
+	w.late = p.lateOf(w)
 	for _, o := range p.workers {
-		if o == h || !p.usable(now, o, j.Queue.Service, s.Step) || !s.Step.Counted().Fits(o.Free()) {
+		free := o.Free()
+		if p.ahead != nil {
+			free = p.roomAhead(w, o, free)
+		}
+		if o == h || !p.usable(now, o, j.Queue.Service, s.Step) || !s.Step.Counted().Fits(free) {
 			continue
 		}
 		if _, fits := p.score(o, stepRefOf(s.Task), s.Step); fits {
