Read the settings of the operator's records when their follower runs

Cause: the constructor read settings that a test without a running entry doesn't set. Change: the wait of a read is set by run.

--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -21,20 +21,21 @@
 
 func newOperator(e *Entry) *operator {
 	o := &operator{entry: e, logged: map[string]sched.Offset{}}
-	wait := operatorPollWait
-	if e.settings.Load().options.EvacuationLimit > 0 {
-		wait = evacuationPollWait
-	}
 	o.follower = &follow.Follower{
 		Store: e.Store, Partition: e.Registry.Operator(), Clock: e.Clock,
-		Wait: wait, ReadInterval: operatorReadInterval,
+		Wait: operatorPollWait, ReadInterval: operatorReadInterval,
 		OnFullRead: o.replace, OnAppended: o.add, OnRead: o.noteRead, OnError: e.storeStateLogger("operator"),
 	}
 	return o
 }
 
 // run follows the records until the context ends.
-func (o *operator) run(c context.Context) { o.follower.Run(c) }
+func (o *operator) run(c context.Context) {
+	if o.entry.settings.Load().options.EvacuationLimit > 0 {
+		o.follower.Wait = evacuationPollWait
+	}
+	o.follower.Run(c)
+}
 
 // replace takes the newest records of all keys.
 func (o *operator) replace(records []sched.KeyedRecord) {
