Let a machine of 284 MB hold the connections of 300 instances

Cause: half of the peers' memory bounded their connections, 213 with 284 MB, while each instance has a connection to the planner. Change: connections of peers may take three quarters of their share: 324 with 284 MB, 612 with 536 MB.

--- a/pkg/budget/limits.go
+++ b/pkg/budget/limits.go
@@ -50,9 +50,10 @@
 	callerMemoryPart, peerMemoryPart, smallMemoryPart    = 5, 7, 64
 	callerSocketPart, peerSocketPart, smallSocketPart    = 4, 4, 32
 	minSmallConnections, minSmallMemory, minMainMemoryMB = 8, 1 << 20, 4
-	// connectionPart is the part of a share that connections without a request may
-	// take; the rest is for requests.
-	connectionPart = 2
+	// connectionPart is the part of a share, in quarters, that connections without a request
+	// may take; the rest is for requests. For peers it is larger: each instance has a
+	// connection to the planner, and a machine of 284 MB must be able to plan for 300.
+	connectionPart, peerConnectionPart, quarters = 2, 3, 4
 )
 
 // Of returns the default limits for a machine. A memory, in bytes, or a number of
@@ -67,14 +68,14 @@
 		descriptors = defaultDescriptors
 	}
 	sockets := max(descriptors-fileDescriptors, descriptors/2)
-	main := func(part int64, socketPart int, cost int64) Share {
+	main := func(part int64, socketPart int, connections, cost int64) Share {
 		b := max(memory/part, minMainMemoryMB<<20)
-		return Share{Bytes: b, Connections: max(minSmallConnections, min(sockets/socketPart, int(b/connectionPart/cost)))}
+		return Share{Bytes: b, Connections: max(minSmallConnections, min(sockets/socketPart, int(b*connections/quarters/cost)))}
 	}
-	l.Callers = main(callerMemoryPart, callerSocketPart, ConnectionCost)
-	l.Peers = main(peerMemoryPart, peerSocketPart, PeerConnectionCost)
+	l.Callers = main(callerMemoryPart, callerSocketPart, connectionPart, ConnectionCost)
+	l.Peers = main(peerMemoryPart, peerSocketPart, peerConnectionPart, PeerConnectionCost)
 	small := Share{Bytes: max(memory/smallMemoryPart, minSmallMemory)}
-	small.Connections = max(minSmallConnections, min(sockets/smallSocketPart, int(small.Bytes/connectionPart/ConnectionCost)))
+	small.Connections = max(minSmallConnections, min(sockets/smallSocketPart, int(small.Bytes*connectionPart/quarters/ConnectionCost)))
 	l.Metrics, l.Probes = small, small
 	if known {
 		received := int64((l.Callers.Connections+Backlog)*CallerReceiveBuffer + (l.Peers.Connections+Backlog)*PeerReceiveBuffer)
