--- a/pkg/cell/ahead_test.go
+++ b/pkg/cell/ahead_test.go
@@ -148,3 +148,38 @@
 		}
 	}
 }
+
+// Guards against a task that goes on waiting for its held worker after that has become
+// silent or begun to leave.
+func TestAHeldTaskStartsElsewhereOnceItsWorkerIsLost(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		i := is.New(t)
+		r := newAheadRig(t, 4, true)
+		s := largeStep(1)
+		s.Lasting, s.Needs.Processors = true, 15000
+		r.submit(job("last", s))
+		var held sched.InstanceID
+		for n := 0; n < 20 && held == ""; n++ {
+			r.wait(120 * time.Millisecond)
+			e, _ := r.planner.Explain(r.now, "last", nil)
+			for _, x := range e.Steps[0].Workers {
+				held = x.ID
+				i.Equal(x.Role, "held")
+			}
+		}
+		i.True(held != "")
+		if silent {
+			r.gone[held] = true
+		} else {
+			w := worker(0)
+			w.ID, w.Draining, w.DrainRemaining = held, true, time.Minute
+			r.planner.Listed(r.now, w)
+		}
+		slips := r.planner.Stats().Slipped
+		r.wait(8 * time.Second)
+		i.True(r.planner.Stats().Slipped > slips)
+		e, _ := r.planner.Explain(r.now, "last", nil)
+		i.Equal(e.Steps[0].Running, 1)
+		i.True(e.Steps[0].Workers[0].ID != held)
+	}
+}
