Bound the time in which a moved cell's term begins

Cause: an instance that was frozen while a cell moved to it could take the cell when it woke, long after the planner had given the move up; and a later takeover by it counted as that move. Change: the instance gives up 4 s after it began to read; the request is used up by the attempt that follows it. Result: TestThePlannerContinuesIfAMoveFails also checks the time after the thaw.

--- a/internal/emu/site/placement_test.go
+++ b/internal/emu/site/placement_test.go
@@ -277,6 +277,10 @@
 			i.Equal(x.site.Planner(0), before)
 		}
 		x.world.Thaw(other)
+		for range 20 {
+			time.Sleep(250 * time.Millisecond)
+			i.Equal(x.site.Planner(0), before) // it doesn't take a cell that was offered long ago
+		}
 		end()
 	})
 }
--- a/internal/process/entry/cell.go
+++ b/internal/process/entry/cell.go
@@ -64,7 +64,7 @@
 	// loaded is set once it has read them, until the term has begun.
 	loaded atomic.Bool
 	// movedAfter is the term after which a working planner has asked this instance to
-	// plan the cell.
+	// plan the cell, 0 if the newest request isn't of that kind.
 	movedAfter atomic.Int64
 	// placement belongs to the term of this instance, nil if there is none.
 	placement atomic.Pointer[placement]
@@ -85,13 +85,15 @@
 		}
 		k.entry.Log.Info("takeOver", zap.Int("cell", k.number), zap.String("from", string(m.planner.ID)),
 			zap.String("why", why))
-		k.runTerm(c, m.planner)
+		moved := why == askedByPlanner && k.movedAfter.Swap(0) == int64(m.planner.Term)
+		k.runTerm(c, m.planner, moved)
 	}
 }
 
 // runTerm begins a term after that of the given planner and returns when the new
-// term has ended or couldn't begin.
-func (k *cellController) runTerm(c context.Context, from peers.Planner) {
+// term has ended or couldn't begin. moved is set if that planner works and the cell moves
+// to this instance.
+func (k *cellController) runTerm(c context.Context, from peers.Planner, moved bool) {
 	e := k.entry
 	agents := &agent.Pool{
 		Direct: e.Runner, HTTP: e.PeerClient, Instances: e.directory.Instances, MinWorkers: e.AgentsFrom, Clock: e.Clock,
@@ -120,10 +122,13 @@
 		k.beginning.Store(false)
 		k.loaded.Store(false)
 	}()
+	if moved {
+		l.BeginTimeout = moveBeginTimeout
+	}
 	term, endTerm := context.WithCancel(c)
 	var moves sync.WaitGroup
 	l.OnBegin = func(number sched.Offset) {
-		placed := k.termBegan(context.WithoutCancel(c), l, from, number)
+		placed := k.termBegan(context.WithoutCancel(c), l, number, moved)
 		moves.Go(func() { k.watchPlacement(term, l, placed) })
 	}
 	l.OnAppendOverdue = func() { k.offerCell(l) }
@@ -156,12 +161,12 @@
 // termBegan updates the state of this instance when its term has begun. The context isn't
 // the one that ends the term. It returns what decides on moves of the cell.
 func (k *cellController) termBegan(
-	c context.Context, l *lead.Leader, from peers.Planner, term sched.Offset,
+	c context.Context, l *lead.Leader, term sched.Offset, moved bool,
 ) *placement {
 	e := k.entry
 	k.beginning.Store(false)
 	k.loaded.Store(false)
-	placed := newPlacement(e.Clock.Now(), from.Term > 0 && k.movedAfter.Load() == int64(from.Term))
+	placed := newPlacement(e.Clock.Now(), moved)
 	k.placement.Store(placed)
 	e.Meter.TermBegan()
 	k.living.do(func(l *rank.Living) { *l = rank.Living{} })
@@ -274,6 +279,16 @@
 	return err == nil
 }
 
+// acceptRequest accepts a request of a planner to plan the cell after its term.
+func (k *cellController) acceptRequest(q relay.Ping) bool {
+	after := q.TakeOverAfter
+	if !q.Move {
+		after = 0
+	}
+	k.movedAfter.Store(int64(after))
+	return k.acceptTakeover(q.TakeOverAfter)
+}
+
 // acceptTakeover has this instance plan the cell after the given term. It returns
 // true, also if an earlier request is still pending.
 func (k *cellController) acceptTakeover(after sched.Offset) bool {
--- a/internal/process/entry/local.go
+++ b/internal/process/entry/local.go
@@ -89,10 +89,7 @@
 		out.PlannerReached = p.reaches(c, q.Cell)
 	}
 	if s := p.controller(q.Cell); q.TakeOverAfter > 0 && s != nil && !out.Load.Leaving {
-		out.TakeOverAccepted = s.canTakeOver(c, q.TakeOverAfter) && (q.QueryOnly || s.acceptTakeover(q.TakeOverAfter))
-		if q.Move && !q.QueryOnly && out.TakeOverAccepted {
-			s.movedAfter.Store(int64(q.TakeOverAfter))
-		}
+		out.TakeOverAccepted = s.canTakeOver(c, q.TakeOverAfter) && (q.QueryOnly || s.acceptRequest(q))
 	}
 	return out
 }
--- a/internal/process/entry/monitor.go
+++ b/internal/process/entry/monitor.go
@@ -33,6 +33,9 @@
 	earlyObserveDelay = 120 * time.Millisecond
 )
 
+// askedByPlanner is the reason of a takeover that the present planner has asked for.
+const askedByPlanner = "asked by the planner"
+
 // plannerMonitor monitors the planner of one cell until this instance should take
 // the cell over.
 type plannerMonitor struct {
@@ -75,7 +78,7 @@
 			select {
 			case after := <-m.cell.takeoverRequests:
 				if m.planner, _ = e.directory.Planner(m.cell.number); m.planner.Term <= after {
-					return "asked by the planner"
+					return askedByPlanner
 				}
 				next = nil
 			case apply := <-m.observation.results:
--- a/internal/process/entry/move.go
+++ b/internal/process/entry/move.go
@@ -21,6 +21,10 @@
 	// moveTimeout bounds a move: the time in which the other instance reads the records of
 	// the cell and begins a term. The planner works on meanwhile.
 	moveTimeout = 5 * time.Second
+	// moveBeginTimeout is the time in which the other instance must have begun its term. It
+	// is shorter than moveTimeout, so that an instance that was frozen doesn't take a cell
+	// whose planner no longer expects it.
+	moveBeginTimeout = 4 * time.Second
 	// moveHold is how long the planner appends nothing once the other instance has read
 	// the records. It lets that instance append its term: some round trips. No start may
 	// be delayed for longer than 500 ms.
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -46,6 +46,8 @@
 	// done for it, and returns once an emulated processor has done as much. It is nil on
 	// a real one.
 	Spend func(before, after cell.Stats)
+	// BeginTimeout bounds the time in which the term begins. With 0 there is no bound.
+	BeginTimeout time.Duration
 	// OnLoaded is called when the records of the cell have been read, before the term
 	// begins. It may be nil.
 	OnLoaded func()
@@ -179,6 +181,11 @@
 const actorEndTimeout = time.Second
 
 func (l *Leader) beginTerm(c context.Context) (*keyedState, error) {
+	if l.BeginTimeout > 0 {
+		x, cancel := context.WithTimeout(c, l.BeginTimeout)
+		defer cancel()
+		c = x
+	}
 	k, err := load(c, l.Store, Partition(l.Cell))
 	if err != nil {
 		return nil, err
