--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -50,6 +50,8 @@
 	// Evacuations returns the evacuations by the newest read of the operator's records, nil
 	// before the first one. If it is nil, there are none.
 	Evacuations func() *evac.Set
+	// BeginTimeout bounds the time in which the term begins. With 0 there is no bound.
+	BeginTimeout time.Duration
 	// OnLoaded is called when the records of the cell have been read, before the term
 	// begins. It may be nil.
 	OnLoaded func()
@@ -196,6 +198,11 @@
 const actorEndTimeout = time.Second
 
 func (l *Leader) beginTerm(c context.Context) (*keyedState, error) {
+	if l.BeginTimeout > 0 {
+		x, cancel := context.WithTimeout(c, l.BeginTimeout)
+		defer cancel()
+		c = x
+	}
 	k, err := load(c, l.Store, Partition(l.Cell))
 	if err != nil {
 		return nil, err
