Count a lease as ended only once the worker can have ended its runs

Cause: a run was given up at the moment at which the slowest clock shows the end of its lease. Change: 150 ms are added to the end of the lease.

--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -17,6 +17,9 @@
 	bumpBits = 20
 	// leaseMargin is the time by which a lease stays below the limit.
 	leaseMargin = 50 * time.Millisecond
+	// lapseTime is how long a worker may take to notice that its lease has lapsed and to end
+	// its runs. In a play of the emulated site a run went on for 5 ms.
+	lapseTime = 150 * time.Millisecond
 )
 
 // Key identifies a run of a task.
@@ -126,7 +129,7 @@
 		return 0
 	}
 	span := now.Sub(h.lastReading.sent) + limit - leaseMargin
-	end := h.lastReading.received.Add(time.Duration(float64(span) / minClockRate))
+	end := h.lastReading.received.Add(time.Duration(float64(span)/minClockRate) + lapseTime)
 	if end.After(h.leaseEnd) {
 		h.leaseEnd = end
 	}
