--- a/internal/process/lead/calls.go
+++ b/internal/process/lead/calls.go
@@ -18,10 +18,6 @@
 	baseOrderTimeout = 320 * time.Millisecond
 	// maxOrderTimeout bounds the timeout in a process with scheduling lag.
 	maxOrderTimeout = 900 * time.Millisecond
-	// patienceStep is added to the timeout of a lease order for each of the last
-	// maxPatientFailures calls that had no answer.
-	patienceStep       = 400 * time.Millisecond
-	maxPatientFailures = 3
 )
 
 // orderTimeout is how long a worker has to answer an order. Scheduling lag of this
@@ -93,17 +89,8 @@
 	l.post(workPaced, func() { l.planner.Paced(r.Received, r) })
 }
 
-// leaseTimeout is how long a worker has to answer a lease order. After failures it is longer:
-// over a full link answers take over a second, and one that is dropped may hold ends that
-// the worker has listed. A worker that is back isn't noticed while such a call waits for an
-// answer to a dead connection, which bounds the timeout.
-func leaseTimeout(o cell.LeaseCall) time.Duration {
-	patience := time.Duration(min(o.Failures, maxPatientFailures)) * patienceStep
-	return maxOrderTimeout + patience + o.Order.Wait
-}
-
 func (l *Leader) lease(o cell.LeaseCall) {
-	x, cancel := context.WithTimeout(l.callContext, leaseTimeout(o))
+	x, cancel := context.WithTimeout(l.callContext, maxOrderTimeout+o.Order.Wait)
 	defer cancel()
 	sent := l.Clock.Now()
 	a, err := send(l, func() (sched.LeaseAnswer, error) { return l.Runner.Lease(x, o.Worker, o.Order) })
--- a/pkg/cell/effect.go
+++ b/pkg/cell/effect.go
@@ -40,8 +40,6 @@
 type LeaseCall struct {
 	Worker sched.Worker
 	Order  sched.LeaseOrder
-	// Failures is the number of calls in a row that the worker hasn't answered.
-	Failures int
 }
 
 // Effects are the I/O that a planner's owner is to carry out. Calls to workers
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -106,7 +106,7 @@
 			}
 		}
 		h.ExchangeInFlight = true
-		p.effects.Leases = append(p.effects.Leases, LeaseCall{h.Worker, o, h.Failures})
+		p.effects.Leases = append(p.effects.Leases, LeaseCall{h.Worker, o})
 	}
 }
 
