--- a/internal/process/entry/desk.go
+++ b/internal/process/entry/desk.go
@@ -112,8 +112,6 @@
 	// retryAfter is the time after which a caller should retry while this instance
 	// hasn't joined.
 	retryAfter = time.Second
-	// defaultCallTime is the time of a call without a deadline.
-	defaultCallTime = 3 * time.Second
 )
 
 // plannerCall makes one attempt of a call to the planner of a cell at the given
@@ -208,7 +206,7 @@
 // describe returns the call for a decision.
 func (t *attempts) describe(c context.Context) outage.Call {
 	now := t.entry.Clock.Now()
-	left := defaultCallTime - now.Sub(t.began)
+	left := lead.DefaultCallTime - now.Sub(t.began)
 	if deadline, set := c.Deadline(); set {
 		left = time.Until(deadline)
 	}
--- a/internal/process/entry/move.go
+++ b/internal/process/entry/move.go
@@ -90,9 +90,16 @@
 	return p.mover.Decide(now, self, out)
 }
 
+// behind reports whether the planner here is behind.
+func (p *placement) behind(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mover.Behind(now)
+}
+
 // readyOthers returns how many of the given instances have pinged this one lately, aren't
-// leaving and have no planner that is behind, and whether the planner here is behind.
-func (p *placement) readyOthers(now time.Time, all []peers.Instance) (ready int, behind bool) {
+// leaving and have no planner that is behind.
+func (p *placement) readyOthers(now time.Time, all []peers.Instance) (ready int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, i := range all {
@@ -101,7 +108,7 @@
 			ready++
 		}
 	}
-	return ready, p.mover.Behind(now)
+	return ready
 }
 
 // relieved reports whether this instance should say that it isn't ready, since its planner
@@ -111,19 +118,26 @@
 	if controllers == nil {
 		return false
 	}
-	now := e.Clock.Now()
+	now, anyBehind := e.Clock.Now(), false
+	var planning []*placement
+	for _, s := range *controllers {
+		if p := s.placement.Load(); p != nil {
+			planning = append(planning, p)
+			anyBehind = anyBehind || p.behind(now)
+		}
+	}
+	if !anyBehind {
+		return false // the directory isn't read for each check of readiness
+	}
 	var near []peers.Instance
 	for _, i := range e.directory.Instances() {
 		if i.DataCentre == e.Self.DataCentre {
 			near = append(near, i)
 		}
 	}
-	anyBehind, others := false, len(near)
-	for _, s := range *controllers {
-		if p := s.placement.Load(); p != nil {
-			ready, behind := p.readyOthers(now, near)
-			anyBehind, others = anyBehind || behind, min(others, ready)
-		}
+	others := len(near)
+	for _, p := range planning {
+		others = min(others, p.readyOthers(now, near))
 	}
 	e.reliefMu.Lock()
 	defer e.reliefMu.Unlock()
--- a/internal/process/entry/observe.go
+++ b/internal/process/entry/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,14 +137,8 @@
 	if m.otherBegan.IsZero() {
 		m.otherBegan = now
 	}
-	m.waitUntil = minTime(now.Add(beginningLifetime), m.otherBegan.Add(maxBeginning))
-}
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	limits := []time.Time{now.Add(beginningLifetime), m.otherBegan.Add(maxBeginning)}
+	m.waitUntil = slices.MinFunc(limits, time.Time.Compare)
 }
 
 // probe asks other candidates whether they reach the planner, maxProbes at a time, until
--- a/internal/process/lead/line.go
+++ b/internal/process/lead/line.go
@@ -52,9 +52,9 @@
 	// priorityStep is by how much later a call with the next lower priority ranks. The
 	// latency targets of adjacent priorities differ by about as much.
 	priorityStep = 500 * time.Millisecond
-	// defaultCallTime is the time of a call without a deadline, as that of callers who name
+	// DefaultCallTime is the time of a call without a deadline, as that of callers who name
 	// none.
-	defaultCallTime = 3 * time.Second
+	DefaultCallTime = 3 * time.Second
 	// cancelPriority and readPriority rank the calls that belong to no queue's priority.
 	// Cancels free capacity.
 	cancelPriority = 0
@@ -65,7 +65,7 @@
 func rankOf(c context.Context, now time.Time, priority int) time.Time {
 	deadline, set := c.Deadline()
 	if !set {
-		deadline = now.Add(defaultCallTime)
+		deadline = now.Add(DefaultCallTime)
 	}
 	return deadline.Add(time.Duration(priority) * priorityStep)
 }
--- a/pkg/cell/ahead.go
+++ b/pkg/cell/ahead.go
@@ -162,9 +162,10 @@
 }
 
 // roomAhead returns how much of what is free on a worker a task of the step may take
-// without delaying the plan.
-func (p *Planner) roomAhead(w *waitingStep, h *hosts.Host, free sched.Resources) sched.Resources {
-	if !p.ahead.held {
+// without delaying the plan, all of it if there is no plan.
+func (p *Planner) roomAhead(w *waitingStep, h *hosts.Host) sched.Resources {
+	free := p.freeOn(h)
+	if p.ahead == nil || !p.ahead.held {
 		return free
 	}
 	return p.ahead.plan.Room(p.placedAt, p.ahead.workerOf(h), free, w.ask())
--- a/pkg/cell/evict.go
+++ b/pkg/cell/evict.go
@@ -204,11 +204,7 @@
 	w := &waitingStep{job: j, occurrence: j.Occurrences[s.Task.Occurrence], step: s.Task.Step, isCopy: true}
 	w.late = p.lateOf(w)
 	for _, o := range p.workers {
-		free := p.freeOn(o)
-		if p.ahead != nil {
-			free = p.roomAhead(w, o, free)
-		}
-		if o == h || !p.usable(now, o, j.Queue.Service, s.Step) || !s.Step.Counted().Fits(free) {
+		if o == h || !p.usable(now, o, j.Queue.Service, s.Step) || !s.Step.Counted().Fits(p.roomAhead(w, o)) {
 			continue
 		}
 		if _, fits := p.score(o, stepRefOf(s.Task), s.Step); fits {
--- a/pkg/cell/reserve.go
+++ b/pkg/cell/reserve.go
@@ -123,12 +123,10 @@
 }
 
 // roomFor returns what is free on a worker for a step: less than Host.Free if the worker
-// is reserved for another step or cold.
+// is reserved for another step or cold, or if the look-ahead placement, which makes no
+// reservations, holds room there.
 func (p *Planner) roomFor(w *waitingStep, h *hosts.Host) sched.Resources {
-	free := p.freeOn(h)
-	if p.ahead != nil {
-		return p.roomAhead(w, h, free)
-	}
+	free := p.roomAhead(w, h)
 	r, reserved := p.reservations[h]
 	if !reserved || r.step == w {
 		return free
--- a/pkg/evac/set.go
+++ b/pkg/evac/set.go
@@ -99,12 +99,7 @@
 	s.marks[e.DataCentre] = Mark{e.InForce, e.Offset, received}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
 
 // Covers reports whether a data centre is being evacuated.
 func (s *Set) Covers(d sched.DataCentre) bool { return s != nil && s.marks[d].InForce }
--- a/pkg/stall/stall.go
+++ b/pkg/stall/stall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 )
 
@@ -24,14 +23,8 @@
 func (l Limits) Context(c context.Context) (context.Context, context.CancelFunc) {
 	c, cancel := context.WithTimeout(c, max(l.First, l.Total))
 	timer := time.AfterFunc(l.First, cancel)
-	var done atomic.Bool
-	progressed := func() {
-		if !done.Load() {
-			timer.Reset(l.Idle)
-		}
-	}
+	progressed := func() { timer.Reset(l.Idle) }
 	return context.WithValue(c, key{}, progressed), func() {
-		done.Store(true)
 		timer.Stop()
 		cancel()
 	}
