--- a/review/rig-3/platform/main.go
+++ b/review/rig-3/platform/main.go
@@ -22,6 +22,15 @@
 const (
 	instanceCount = 3
 	mostTime      = 117 * time.Second
+	readyTime     = 15 * time.Second
+)
+
+const (
+	// finishTime is the users' finish_s.
+	finishTime = 14 * time.Second
+	// idleLimit is how long a submission may have nothing running while a task's turn has
+	// come.
+	idleLimit = 3 * time.Second
 )
 
 // play runs a case in a deployment and returns its result. Without trouble it does the same
@@ -30,11 +39,9 @@
 
 // plays holds the cases by name.
 var plays = map[string]play{
-	"occurrence": playOccurrence,
-	"flap":       playFlap,
-	"crowd":      playCrowd,
-	"backfill":   playBackfill,
-	"ends":       playEnds,
+	"ends":     playEnds,
+	"crowd":    playCrowd,
+	"backfill": playBackfill,
 }
 
 // Main plays the case that the first argument names, writes its record to the folder that
@@ -98,3 +105,16 @@
 	}
 	return resultNotRun
 }
+
+// runs returns the number of runs on all workers.
+func (s *system) runs() int {
+	sum := 0
+	for _, w := range s.workers {
+		n, _ := w.load()
+		sum += n
+	}
+	return sum
+}
+
+// jobID returns the id of the n-th submission of a kind.
+func jobID(kind, n int) string { return fmt.Sprintf("%08x%08x", kind, n) }
--- a/review/rig-3/platform/system.go
+++ b/review/rig-3/platform/system.go
@@ -381,12 +381,3 @@
 	}
 	return b.State
 }
-
-// logLines returns the lines that a process has written.
-func (s *system) logLines(x *instance) []string {
-	data, err := os.ReadFile(filepath.Join(s.folder, x.name+".log"))
-	if err != nil {
-		return nil
-	}
-	return strings.Split(strings.TrimSpace(string(data)), "\n")
-}
--- a/review/rig-3/platform/worker.go
+++ b/review/rig-3/platform/worker.go
@@ -38,8 +38,7 @@
 	how    string
 }
 
-// worker is a stand-in of one worker. It guards its capacity. It can crash and start again
-// under the same id and at the same address.
+// worker is a stand-in of one worker. It guards its capacity.
 type worker struct {
 	id, rack   string
 	cpu, memMB int
@@ -58,10 +57,8 @@
 	finished []finishedRun
 	ends     int
 	highest  map[string]int // highest run that was stopped or ended, by task
-	slow     float64        // how many times as long work takes
 	changed  chan struct{}
 	sequence int
-	life     int
 }
 
 const (
@@ -73,13 +70,9 @@
 	zoneName    = "quezon-a"
 )
 
-// start begins a life of the worker.
+// start begins the life of the worker.
 func (k *worker) start() error {
-	address := k.address
-	if address == "" {
-		address = net.JoinHostPort(host, "0")
-	}
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", k.id, err)
 	}
@@ -88,38 +81,22 @@
 	k.up, k.born, k.token, k.lease = true, time.Now(), 0, time.Time{}
 	k.running, k.finished, k.ends = map[string]*run{}, nil, 0
 	k.highest, k.changed, k.sequence = map[string]int{}, make(chan struct{}), 0
-	k.slow = max(1, k.slow)
-	k.life++
-	life := k.life
 	k.server = &http.Server{Handler: k}
 	s := k.server
 	k.mu.Unlock()
 	k.log.linef("worker %s born=%d at %s", k.id, k.born.UnixMilli(), k.address)
 	go func() { _ = s.Serve(l) }()
-	go k.live(life)
+	go k.live()
 	return nil
 }
 
-// crash ends the life of the worker without a word.
-func (k *worker) crash() {
-	k.mu.Lock()
-	k.up = false
-	s, n := k.server, len(k.running)
-	k.running = map[string]*run{}
-	close(k.changed)
-	k.changed = make(chan struct{})
-	k.mu.Unlock()
-	k.log.linef("worker %s crashes with %d runs", k.id, n)
-	_ = s.Close()
-}
-
 // live lets the runs work and writes the entry of the worker until its life ends.
-func (k *worker) live(life int) {
+func (k *worker) live() {
 	beat := time.Time{}
 	for {
 		now := time.Now()
 		k.mu.Lock()
-		if !k.up || k.life != life {
+		if !k.up {
 			k.mu.Unlock()
 			return
 		}
@@ -151,7 +128,7 @@
 func (k *worker) advance(now time.Time) {
 	lapsed := !k.lease.IsZero() && now.After(k.lease)
 	for _, r := range k.running {
-		r.done += time.Duration(float64(now.Sub(r.at)) / k.slow)
+		r.done += now.Sub(r.at)
 		r.at = now
 		switch {
 		case lapsed:
@@ -323,15 +300,6 @@
 	answer["clock_ms"], answer["running"], answer["finished"] = k.clock(time.Now()), running, finished
 }
 
-// setSlow sets how many times as long work takes from now on.
-func (k *worker) setSlow(x float64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.advance(time.Now())
-	k.slow = x
-	k.log.linef("worker %s works %.1f times as long", k.id, x)
-}
-
 // load returns the number of runs and the processors in use.
 func (k *worker) load() (runs, cpu int) {
 	k.mu.Lock()
