--- a/review/rig-3/platform/backfill.go
+++ b/review/rig-3/platform/backfill.go
@@ -11,7 +11,7 @@
 	// backfillJobs is the number of submissions, and backfillTimes how often the steps of
 	// each run: once for each hour since some weeks ago. backfillFewTimes replaces it without
 	// trouble.
-	backfillJobs     = 47
+	backfillJobs     = 80
 	backfillTimes    = 2000
 	backfillFewTimes = 20
 	backfillClients  = 5
