Report workers that take no tasks since their runs aren't known

Neither logs nor metrics tell why: a worker whose runs were never listed, one that may have more ends than it lists, and one with strays look alike, and "explain" counts all of them as "unusable".

No decision changes.

--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/parsleybarrow/parsleybarrow/internal/process/lead"
 	"github.com/parsleybarrow/parsleybarrow/internal/process/meter"
 )
 
@@ -28,8 +29,9 @@
 			}
 			return 0
 		},
-		Evacuations:   func() float64 { return float64(len(e.evacuations.Load().DataCentres())) },
-		EvacuatedRuns: func() float64 { return float64(e.evacuatedRuns()) },
+		Evacuations:    func() float64 { return float64(len(e.evacuations.Load().DataCentres())) },
+		EvacuatedRuns:  func() float64 { return float64(e.sumOverPlanned((*lead.Leader).EvacuatedRuns)) },
+		UnknownWorkers: func() float64 { return float64(e.sumOverPlanned((*lead.Leader).UnknownWorkers)) },
 		Ready: func() float64 {
 			if e.Ready() {
 				return 1
@@ -58,14 +60,13 @@
 	return n
 }
 
-// evacuatedRuns returns the number of runs in evacuated data centres of the cells that this
-// instance plans.
-func (e *Entry) evacuatedRuns() int64 {
+// sumOverPlanned returns the sum of a figure over the cells that this instance plans.
+func (e *Entry) sumOverPlanned(figure func(*lead.Leader) int64) int64 {
 	var n int64
 	if controllers := e.controllers.Load(); controllers != nil {
 		for _, s := range *controllers {
 			if l := s.lead.Load(); l != nil {
-				n += l.EvacuatedRuns()
+				n += figure(l)
 			}
 		}
 	}
--- a/internal/process/lead/actor.go
+++ b/internal/process/lead/actor.go
@@ -120,6 +120,7 @@
 	}
 	l.reportedStats = done
 	l.evacuatedRuns.Store(int64(l.planner.EvacuatedRuns()))
+	l.unknownWorkers.Store(int64(l.planner.UnknownWorkers()))
 }
 
 // applyEffects has the planner place waiting tasks and write a batch, and carries out the
--- a/internal/process/lead/evacuate.go
+++ b/internal/process/lead/evacuate.go
@@ -20,6 +20,10 @@
 // of the last second.
 func (l *Leader) EvacuatedRuns() int64 { return l.evacuatedRuns.Load() }
 
+// UnknownWorkers returns the number of workers that take no tasks since not all of their
+// runs are known, as of the last second.
+func (l *Leader) UnknownWorkers() int64 { return l.unknownWorkers.Load() }
+
 // readEvacuations returns the evacuations as of the newest read of the operator's records,
 // and whether starts are held since that is too old, which isn't so without a limit.
 func (l *Leader) readEvacuations(now time.Time) (*evac.Set, bool) {
--- a/internal/process/lead/lead.go
+++ b/internal/process/lead/lead.go
@@ -107,6 +107,8 @@
 	tickWaiting atomic.Bool
 	// evacuatedRuns is the number of runs in evacuated data centres as of the last report.
 	evacuatedRuns atomic.Int64
+	// unknownWorkers is the planner's UnknownWorkers as of the last report.
+	unknownWorkers atomic.Int64
 	// holdRequested receives the time for which nothing is to be appended.
 	holdRequested chan time.Duration
 	// reportedStats are the counters that OnStats was last called with, at reportedAt.
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -52,7 +52,8 @@
 	// operator's configuration, Ready 1 or 0, and LinesDropped the number of
 	// dropped log lines. Evacuations is the number of data centres that are being
 	// evacuated, and EvacuatedRuns that of the runs there in the cells planned here.
-	Cells, Catalog, Ready, LinesDropped, Evacuations, EvacuatedRuns func() float64
+	// UnknownWorkers is the number of their workers whose runs aren't all known.
+	Cells, Catalog, Ready, LinesDropped, Evacuations, EvacuatedRuns, UnknownWorkers func() float64
 }
 
 // RegisterGauges registers the gauges. It is called once.
@@ -63,6 +64,7 @@
 	m.set.NewGauge(linesDropped, g.LinesDropped)
 	m.set.NewGauge(evacuations, g.Evacuations)
 	m.set.NewGauge(evacuatedRuns, g.EvacuatedRuns)
+	m.set.NewGauge(unknownWorkers, g.UnknownWorkers)
 }
 
 // RegisterGuards registers the metrics of the limits for clients, by listener.
--- a/internal/process/meter/meter_test.go
+++ b/internal/process/meter/meter_test.go
@@ -44,7 +44,7 @@
 	m.AddPlannerLoad(busy.Report{LongestWait: time.Second, Works: []busy.Work{{Kind: "tick", Count: 3, Time: 1500 * time.Millisecond}}})
 	m.TermBegan()
 	zero := func() float64 { return 0 }
-	m.RegisterGauges(meter.Gauges{Cells: zero, Catalog: zero, Ready: func() float64 { return 1 }, LinesDropped: zero, Evacuations: zero, EvacuatedRuns: zero})
+	m.RegisterGauges(meter.Gauges{Cells: zero, Catalog: zero, Ready: func() float64 { return 1 }, LinesDropped: zero, Evacuations: zero, EvacuatedRuns: zero, UnknownWorkers: zero})
 	var b bytes.Buffer
 	m.Write(&b)
 	for _, want := range []string{
--- a/internal/process/meter/table.go
+++ b/internal/process/meter/table.go
@@ -32,6 +32,7 @@
 		{readyNow, "gauge", "1 while the instance is ready, else 0."},
 		{evacuations, "gauge", "Data centres that are being evacuated, as known here."},
 		{evacuatedRuns, "gauge", "Runs in these data centres, of the cells that are planned here."},
+		{unknownWorkers, "gauge", "Workers that answer and take no tasks, since not all of their runs are known, of the cells that are planned here."},
 		{linesDropped, "counter", "Log lines for which there was no space, or that couldn't be written."},
 		{clientBytes, "gauge", "Memory reserved for clients, in bytes, by listener: callers, balancer, peers, metrics."},
 		{clientConnections, "gauge", "Open connections of clients, by listener."},
@@ -60,6 +61,7 @@
 	plannerHeldFree = "parsleybarrow_planner_held_free_processor_seconds_total"
 	evacuations     = "parsleybarrow_evacuations"
 	evacuatedRuns   = "parsleybarrow_evacuated_runs"
+	unknownWorkers  = "parsleybarrow_unknown_workers"
 	movesTotal      = "parsleybarrow_cell_moves_total"
 	termsTotal      = "parsleybarrow_terms_total"
 	candidateRank   = "parsleybarrow_candidate_rank"
--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -274,7 +274,7 @@
 // draining, of the service and with the label of the step, and has no runs of unknown
 // needs, and whether its data centre isn't being evacuated.
 func (p *Planner) takes(h *hosts.Host, service string, step *sched.Step) bool {
-	return h.Listed && h.EntryCurrent() && h.RunsKnown && h.Strays == 0 && h.Failures == 0 && !h.Draining &&
+	return h.Listed && h.EntryCurrent() && h.AllKnown() && h.Failures == 0 && !h.Draining &&
 		h.Service == service && (step.Label == "" || slices.Contains(h.Labels, step.Label)) && !p.Evacuated(h.DataCentre)
 }
 
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -182,6 +182,8 @@
 	switch {
 	case !need.Fits(h.Capacity):
 		return "tooSmall"
+	case h.Listed && h.Failures == 0 && !h.AllKnown():
+		return "runsUnknown"
 	case !p.inService(now, h, w.job.Queue.Service, step):
 		return "unusable"
 	case isolated(now, h):
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -30,11 +30,11 @@
 // obstacles counts the workers that don't take a task of a step, by the reason. The
 // first one that applies counts.
 type obstacles struct {
-	// unusable workers are not in service for the step, isolated ones run a suspect of a
-	// crash that has to be alone, full ones lack room, suspected ones have room and are
+	// unknown workers answer and may have further runs or ends, unusable ones are not in
+	// service for the step for another reason, isolated ones run a suspect of a crash that has to be alone, full ones lack room, suspected ones have room and are
 	// avoided, unadvised ones lack a ticket, and those that are disturbed or slow have
 	// serving tasks that can't bear the filler, or leave it too few processors.
-	unusable, isolated, full, suspected, unadvised, disturbed, slow int
+	unknown, unusable, isolated, full, suspected, unadvised, disturbed, slow int
 }
 
 // obstaclesOf returns what keeps the tasks of a waiting step off the workers.
@@ -43,6 +43,8 @@
 	step := &w.job.Steps[w.step]
 	for _, h := range p.workers {
 		switch {
+		case h.Listed && h.Failures == 0 && !h.AllKnown():
+			o.unknown++
 		case !p.inService(now, h, w.job.Queue.Service, step):
 			o.unusable++
 		case isolated(now, h):
@@ -84,14 +86,14 @@
 		w.nextLog *= waitingLogFactor
 	}
 	o := p.obstaclesOf(now, w)
-	if waited >= heldUpDelay && !w.heldUp && o.unusable+o.full < len(p.workers) {
+	if waited >= heldUpDelay && !w.heldUp && o.unknown+o.unusable+o.full < len(p.workers) {
 		w.heldUp = true
 		p.stats.HeldUp += int64(len(w.tasks))
 	}
 	p.options.Log.Info("stepWaiting", zap.String("job", string(w.job.ID)),
 		zap.Int("occurrence", w.occurrence.Number), zap.Int("step", w.step), zap.Duration("waited", waited),
 		zap.Int("waiting", len(w.tasks)), zap.Int("class", int(w.claim.Class)), zap.Bool("filler", w.job.Steps[w.step].Filler),
-		zap.Int("workers", len(p.workers)), zap.Int("unusable", o.unusable), zap.Int("isolated", o.isolated), zap.Int("full", o.full),
+		zap.Int("workers", len(p.workers)), zap.Int("unknown", o.unknown), zap.Int("unusable", o.unusable), zap.Int("isolated", o.isolated), zap.Int("full", o.full),
 		zap.Int("suspected", o.suspected), zap.Int("unadvised", o.unadvised), zap.Int("disturbed", o.disturbed), zap.Int("slow", o.slow),
 		zap.Int("usedPercent", int(100*p.serviceUse(w.job.Queue.Service))),
 		zap.Int("steps", len(p.waitingSteps)))
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -148,6 +148,7 @@
 	p.applyEnds(now, h, r.Answer.Ended)
 	restarted := !h.RunsKnown
 	p.reconcileRuns(now, h, r)
+	p.noteKnown(now, h)
 	if h.RunsKnown { // until then the runs of an earlier life aren't settled
 		p.answered(r.Received, h, restarted)
 	}
@@ -210,7 +211,8 @@
 		s.Incarnation = h.NewestIncarnation()
 		p.applyReport(now, s, x)
 	}
-	if len(r.Answer.Ended) >= fullEndList {
+	h.MoreEnds = len(r.Answer.Ended) >= fullEndList
+	if h.MoreEnds {
 		return
 	}
 	h.RunsKnown = h.RunsKnown || r.Token == h.Token(p.options.Term)
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -49,6 +49,13 @@
 	// RunsKnown is set once an exchange under the present token and life has listed
 	// the runs on the worker.
 	RunsKnown bool
+	// MoreEnds is set while the newest report lists as many ends as a worker lists at a
+	// time. Runs that it doesn't list may then have ended.
+	MoreEnds bool
+	// UnknownSince is when a report first left open what runs on the worker, zero while it is
+	// known. UnknownLogged is set once that was logged.
+	UnknownSince  time.Time
+	UnknownLogged bool
 	// Strays is the number of runs that the newest report lists and Slots doesn't
 	// have. What they need isn't known.
 	Strays int
@@ -161,6 +168,9 @@
 	return h.DurableEnd
 }
 
+// AllKnown reports whether the planner knows all runs on the worker and what they need.
+func (h *Host) AllKnown() bool { return h.RunsKnown && h.Strays == 0 }
+
 // Answered notes an answer of the worker. The answer of a new life counts only once the
 // runs of the earlier one are settled.
 func (h *Host) Answered(at time.Time) {
@@ -214,7 +224,7 @@
 	h.life = life
 	h.lastReading = clockReading{}
 	h.AppliedEnd, h.DurableEnd, h.AckedEnd = 0, 0, 0
-	h.RunsKnown = false
+	h.RunsKnown, h.MoreEnds = false, false
 	h.Bump()
 	for _, s := range h.Slots {
 		if s.Phase != Recorded {
