Acknowledge a full list of ends while the runs behind it are unsettled

Callers saw: accepted jobs that never run again, on sound workers without any run (LOST). It begins when the planner is replaced, or paused, while more than 500 runs of one worker end, and goes on for good: each next planner finds the same.

Cause: a worker lists its oldest 500 ends and the rest only after an acknowledgement of these. Acknowledgement held everything back while any run on the worker was Unsure, and after a change of planner all runs are until the worker lists them. The runs that ended behind the list are neither running nor listed, so they stay Unsure and hold back the acknowledgement by which alone they would be listed. Nothing is placed on a worker whose list is full in its first exchange.

Why this is safe: the condition protects a later incarnation of the worker, whose ends have the same numbers, from an acknowledgement that means the present one. It is needed while a start order may still be carried out. An order is void once the present incarnation has listed its runs under a higher token; that is the proof by which ProvenGone gives runs up already. Such runs no longer hold back, the others do. Only control mode "call" exists; agents carry the same orders. An exchange doesn't ask the worker to wait while its list is full.

--- /dev/null
+++ b/internal/emu/site/end_list_test.go
@@ -0,0 +1,92 @@
+package site_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/parsleybarrow/parsleybarrow/internal/emu/book"
+	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
+)
+
+// Guards against workers that stay unusable since more runs ended there than they list at a time, while no planner asked them:
+// what has ended there is never known, and accepted jobs never run.
+func TestMoreEndsThanAWorkerListsAreFollowed(t *testing.T) {
+	const (
+		// The tasks fit on the workers, 600 on each of three.
+		points, pointTime = 1800, 5 * time.Second
+		first, second     = sched.JobID("5c0e7a21d94b36f8"), sched.JobID("5c0e7a21d94b36f9")
+		settleTime        = 8 * time.Second
+	)
+	rows := []struct {
+		name string
+		// fault keeps the planner from its workers while the tasks end.
+		fault  func(x *trial, planner sched.InstanceID)
+		agents bool
+	}{
+		{"all instances are killed", func(x *trial, _ sched.InstanceID) {
+			for n := range x.instances {
+				x.site.Kill(instance(n))
+			}
+			time.Sleep(3 * time.Second)
+			for n := range x.instances {
+				x.startIfDown(instance(n))
+			}
+		}, false},
+		{"the planner is killed", func(x *trial, planner sched.InstanceID) {
+			time.Sleep(1200 * time.Millisecond)
+			x.site.Kill(planner)
+		}, false},
+		{"the planner is paused", func(x *trial, planner sched.InstanceID) {
+			x.world.Freeze(planner)
+			time.Sleep(3 * time.Second)
+			x.world.Thaw(planner)
+		}, false},
+		{"all instances are killed, orders of agents", func(x *trial, _ sched.InstanceID) {
+			for n := range x.instances {
+				x.site.Kill(instance(n))
+			}
+			time.Sleep(3 * time.Second)
+			for n := range x.instances {
+				x.startIfDown(instance(n))
+			}
+		}, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				x := newSizedTrial(1, 3, 3, 1)
+				if row.agents {
+					x.useAgents()
+				}
+				c, stop, loops := x.begin()
+				time.Sleep(6 * time.Second)
+				planner := x.site.Planner(0)
+				j := sched.Job{ID: first, Queue: queue, Payload: "payload", Steps: []sched.Step{
+					{Tasks: points, Needs: sched.Resources{Processors: 20, Memory: 50 << 20}, Estimate: pointTime},
+					{Tasks: 3, Needs: sched.Resources{Processors: 500, Memory: 500 << 20}, Estimate: time.Second, After: []int{0}},
+				}}
+				x.world.Jobs.Add(book.JobTruth{Job: j, MeanRunTimes: []time.Duration{pointTime, time.Second}})
+				loops.Go(func() { x.caller.SubmitAndPoll(c, j) })
+				time.Sleep(3700 * time.Millisecond) // the tasks have started and end soon
+				row.fault(x, planner)
+				time.Sleep(time.Second)
+				later := x.addJob(string(second))
+				loops.Go(func() { x.caller.SubmitAndPoll(c, later) })
+				time.Sleep(settleTime)
+				starts, _ := x.world.Audit.Counts()
+				states := []sched.JobState{x.caller.PollState(c, first, time.Now()), x.caller.PollState(c, second, time.Now())}
+				stop()
+				x.site.End()
+				loops.Wait()
+				time.Sleep(lateTime)
+				i.Equal(states, []sched.JobState{sched.JobCompleted, sched.JobCompleted})
+				i.Equal(starts, int64(points+3+1)) // no task ran again
+				i.Equal(len(x.world.Audit.Findings()), 0)
+			})
+		})
+	}
+}
--- a/pkg/cell/end_list_test.go
+++ b/pkg/cell/end_list_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,190 @@
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
+const (
+	// listedEnds is the number of ends that a worker lists at a time.
+	listedEnds = 500
+	// manyTasks have more ends than fit into two lists.
+	manyTasks = 1200
+)
+
+// endingWorker is a worker that lists the oldest ends only, and forgets those that are
+// acknowledged.
+type endingWorker struct {
+	*rig
+	life int64
+	// carriedOut counts the start orders that had an effect, by task.
+	carriedOut map[sched.TaskRef]int
+	running    []cell.StartCall
+	ends       []sched.EndedRun
+	// lastEnd is the number of the newest end, and listedEnd that of the newest one that was
+	// ever listed.
+	lastEnd, listedEnd int64
+}
+
+func newEndingWorker(t *testing.T) *endingWorker {
+	w := &endingWorker{rig: newRig(t), life: 1, carriedOut: map[sched.TaskRef]int{}}
+	w.list(worker(1))
+	return w
+}
+
+// tinyTasks is a step of which all tasks fit on one worker.
+func tinyTasks(n int) sched.Step {
+	s := withTasks(step(), n)
+	s.Needs = sched.Resources{Processors: 10, Memory: 10 << 20}
+	return s
+}
+
+// carryOut carries out the pending start orders and answers them with the error.
+func (w *endingWorker) carryOut(err error) {
+	for _, s := range w.starts() {
+		w.carriedOut[s.Order.Task]++
+		w.running = append(w.running, s)
+		s.Worker.Incarnation = w.life
+		w.start(s, err)
+	}
+}
+
+// endAll ends all runs.
+func (w *endingWorker) endAll(how sched.RunEnd) {
+	for _, s := range w.running {
+		w.lastEnd++
+		e := ended(s, how)
+		e.Number = w.lastEnd
+		w.ends = append(w.ends, e)
+	}
+	w.running = nil
+}
+
+// answer answers the pending lease order, if there is one.
+func (w *endingWorker) answer() {
+	w.t.Helper()
+	k := slices.IndexFunc(w.effects.Leases, func(l cell.LeaseCall) bool { return l.Worker.ID == "w1" })
+	if k < 0 {
+		return
+	}
+	acknowledged := w.effects.Leases[k].Order.RecordedEnd
+	if acknowledged > w.listedEnd {
+		w.t.Fatalf("end %d is acknowledged, %d is the newest one that was listed", acknowledged, w.listedEnd)
+	}
+	w.ends = slices.DeleteFunc(w.ends, func(e sched.EndedRun) bool { return e.Number <= acknowledged })
+	a := sched.LeaseAnswer{OrderAnswer: sched.OrderAnswer{Incarnation: w.life}, Ended: w.ends[:min(len(w.ends), listedEnds)]}
+	for _, s := range w.running {
+		a.Running = append(a.Running, running(s, 50))
+	}
+	if len(a.Ended) > 0 {
+		w.listedEnd = max(w.listedEnd, a.Ended[len(a.Ended)-1].Number)
+	}
+	w.exchange("w1", a, nil)
+}
+
+// exchangeFor answers lease orders, and lets batches become durable, for the given time.
+func (w *endingWorker) exchangeFor(d time.Duration) {
+	w.t.Helper()
+	for until := w.now.Add(d); w.now.Before(until); {
+		w.pass(20 * time.Millisecond)
+		w.answer()
+		w.commit()
+	}
+}
+
+// state returns the state of a job.
+func (w *endingWorker) state(id sched.JobID) sched.JobState {
+	s, _ := w.planner.State(w.now, id)
+	return s
+}
+
+// replacePlanner begins a new term with what is recorded.
+func (w *endingWorker) replacePlanner() {
+	w.succeed(w.restore(), 2)
+	w.planner.Listed(w.now, worker(1))
+}
+
+// Guards against a worker that stays unusable for good, with all that ended there, since more runs ended unseen than it lists at
+// a time: the rest is listed only after an acknowledgement, which waited for the runs that the rest would have settled.
+func TestAWorkerWithMoreEndsThanItListsIsUsedAgain(t *testing.T) {
+	start := func(w *endingWorker, err error) {
+		w.submit(job("many", tinyTasks(manyTasks)))
+		w.commit()
+		w.carryOut(err)
+		w.commit()
+	}
+	tables := []struct {
+		name string
+		// begin lets more runs end than the worker lists. The planner hasn't seen any of the ends.
+		begin func(w *endingWorker)
+		// completes is set if the ends are those of the whole job.
+		completes bool
+	}{
+		{"the planner is replaced", func(w *endingWorker) {
+			start(w, nil)
+			w.endAll(sched.EndDone)
+			w.replacePlanner()
+		}, true},
+		{"the planner is replaced twice", func(w *endingWorker) {
+			start(w, nil)
+			w.endAll(sched.EndDone)
+			w.replacePlanner()
+			w.exchangeFor(60 * time.Millisecond)
+			w.succeed(w.restore(), 3)
+			w.planner.Listed(w.now, worker(1))
+		}, true},
+		{"the answers to the start orders are lost", func(w *endingWorker) {
+			start(w, errLost)
+			w.endAll(sched.EndDone)
+		}, true},
+		{"another incarnation carries out the start orders", func(w *endingWorker) {
+			w.life = 2
+			start(w, errLost)
+			w.endAll(sched.EndDone)
+		}, true},
+		{"the planner is replaced and the runs of another incarnation have ended", func(w *endingWorker) {
+			w.life = 2
+			start(w, errLost)
+			w.endAll(sched.EndDone)
+			w.replacePlanner()
+		}, true},
+		{"the planner doesn't know the runs", func(w *endingWorker) {
+			start(w, nil)
+			w.endAll(sched.EndDone)
+			w.succeed(nil, 2)
+			w.planner.Listed(w.now, worker(1))
+		}, false},
+		{"the lease ends while the worker can't be reached", func(w *endingWorker) {
+			start(w, nil)
+			for until := w.now.Add(10 * time.Second); w.now.Before(until); w.commit() {
+				w.pass(100 * time.Millisecond)
+				if len(w.effects.Leases) > 0 {
+					w.exchange("w1", sched.LeaseAnswer{}, errLost)
+				}
+			}
+			w.endAll(sched.EndLeaseExpired)
+		}, false},
+	}
+	for _, x := range tables {
+		t.Run(x.name, func(t *testing.T) {
+			i := is.New(t)
+			w := newEndingWorker(t)
+			x.begin(w)
+			w.exchangeFor(2 * time.Second)
+			if x.completes {
+				i.Equal(w.state("many"), sched.JobCompleted)
+				i.Equal(len(w.starts()), 0) // no task runs again
+			}
+			i.Equal(len(w.ends), 0) // all acknowledged
+			i.Equal(w.planner.UnknownWorkers(), 0)
+			entry := worker(1)
+			entry.Incarnation = w.life
+			w.planner.Listed(w.now, entry)
+			w.submit(job("later", step()))
+			w.pass(20 * time.Millisecond)
+			w.commit()
+			later := slices.ContainsFunc(w.starts(), func(s cell.StartCall) bool { return s.Order.Task.Job == "later" })
+			i.True(later)
+		})
+	}
+}
+
 // Guards against a worker that takes no tasks for long without a log line, a figure or an explanation that tells why.
 func TestAWorkerWhoseRunsAreNotKnownIsReported(t *testing.T) {
 	i := is.New(t)
@@ -46,3 +231,53 @@
 	i.Equal(r.planner.UnknownWorkers(), 0)
 	i.Equal(lines.FilterMessage("workerRunsKnown").Len(), 1)
 }
+
+// Guards against an acknowledgement that makes a later incarnation forget ends of its own: a full list must not let it be sent
+// while a start order that had no answer may still be carried out.
+func TestAFullListIsAcknowledgedOnceNoStartOrderMayBeCarriedOut(t *testing.T) {
+	i := is.New(t)
+	w := newEndingWorker(t)
+	w.submit(job("many", tinyTasks(manyTasks)))
+	w.commit()
+	w.carryOut(nil)
+	w.commit()
+	w.submit(job("lost", step()))
+	w.pass(100 * time.Millisecond)
+	w.commit()
+	lost := w.starts()
+	i.Equal(len(lost), 1)
+	w.endAll(sched.EndDone)
+	i.Equal(w.effects.Leases[0].Order.Token, lost[0].Order.Token)
+	w.answer()
+	w.commit()
+	i.Equal(w.listedEnd, int64(listedEnds))
+	w.start(lost[0], errLost)
+	w.pass(time.Second)
+	i.Equal(w.effects.Leases[0].Order.RecordedEnd, int64(0))
+	i.True(w.effects.Leases[0].Order.Token > lost[0].Order.Token)
+	w.answer()
+	w.pass(time.Second)
+	i.Equal(w.effects.Leases[0].Order.RecordedEnd, int64(listedEnds))
+	i.Equal(w.effects.Leases[0].Order.Wait, time.Duration(0)) // further ends are there already
+}
+
+// Guards against ends that are acknowledged, or a worker that is used again, before the ends in a full list are durable.
+func TestAFullListWaitsForTheStore(t *testing.T) {
+	i := is.New(t)
+	w := newEndingWorker(t)
+	w.submit(job("many", tinyTasks(manyTasks)))
+	w.commit()
+	w.carryOut(nil)
+	w.commit()
+	w.endAll(sched.EndDone)
+	w.replacePlanner()
+	for range 150 { // 3 s, in which no batch becomes durable
+		w.pass(20 * time.Millisecond)
+		w.answer()
+	}
+	i.Equal(len(w.ends), manyTasks)
+	i.Equal(w.planner.UnknownWorkers(), 1)
+	w.exchangeFor(2 * time.Second)
+	i.Equal(w.state("many"), sched.JobCompleted)
+	i.Equal(len(w.ends), 0)
+}
--- a/pkg/cell/worker.go
+++ b/pkg/cell/worker.go
@@ -99,7 +99,7 @@
 		if h.Failures == 0 && len(h.Slots) > 0 {
 			o.Lease = h.Grant(now, p.options.LeaseLimit)
 		}
-		if h.RunsKnown && h.Failures == 0 && (o.Lease > 0 || h.Strays > 0) {
+		if h.RunsKnown && !h.MoreEnds && h.Failures == 0 && (o.Lease > 0 || h.Strays > 0) {
 			o.Wait = exchangeWait
 			if h.Shared() {
 				o.Wait = min(exchangeWait, max(minSharedWait, time.Duration(len(p.workers))*time.Second/maxSharedExchangeRate))
@@ -211,7 +211,7 @@
 		s.Incarnation = h.NewestIncarnation()
 		p.applyReport(now, s, x)
 	}
-	h.MoreEnds = len(r.Answer.Ended) >= fullEndList
+	h.Reported(r.Token, len(r.Answer.Ended) >= fullEndList)
 	if h.MoreEnds {
 		return
 	}
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -99,8 +99,10 @@
 	Place int
 
 	// suspects counts the slots of suspects.
-	suspects     int
-	bumps        int64
+	suspects int
+	bumps    int64
+	// listedToken is the highest token under which the newest life has listed its runs.
+	listedToken  sched.FencingToken
 	lastReading  clockReading
 	leaseEnd     time.Time
 	life         int64
@@ -153,21 +155,32 @@
 // Acknowledgement returns the number of the newest end to acknowledge with an exchange now,
 // 0 if there is none. Numbers of ends begin again with each incarnation, so that an
 // acknowledgement that reaches a later incarnation would make it forget ends that it has
-// never listed. Such ends are of runs whose start orders had no answer. Therefore nothing
-// is acknowledged while there are such runs or the worker doesn't answer, nor is an
-// acknowledgement repeated.
+// never listed. Such ends are of runs whose start orders had no answer and may still be
+// carried out. Therefore nothing is acknowledged while there are such orders or the worker
+// doesn't answer, nor is an acknowledgement repeated. An order is void once the newest life
+// has listed its runs under a higher token. Its run may yet be missing from a full list, and
+// the ends behind that are listed only after an acknowledgement.
 func (h *Host) Acknowledgement(now time.Time) int64 {
 	if h.DurableEnd <= h.AckedEnd || h.Failures > 0 {
 		return 0
 	}
 	for _, s := range h.Slots {
-		if s.Phase == Unsure || s.Phase == Ordered && now.Sub(s.OrderedAt) >= unansweredLimit {
+		switch {
+		case s.Phase == Unsure && s.Token >= h.listedToken:
+			return 0
+		case s.Phase == Ordered && now.Sub(s.OrderedAt) >= unansweredLimit:
 			return 0
 		}
 	}
 	return h.DurableEnd
 }
 
+// Reported notes that the newest life has listed its runs in answer to an order with the
+// given token. More is set if it may have more ends than it lists.
+func (h *Host) Reported(token sched.FencingToken, more bool) {
+	h.listedToken, h.MoreEnds = max(h.listedToken, token), more
+}
+
 // AllKnown reports whether the planner knows all runs on the worker and what they need.
 func (h *Host) AllKnown() bool { return h.RunsKnown && h.Strays == 0 }
 
@@ -224,7 +237,7 @@
 	h.life = life
 	h.lastReading = clockReading{}
 	h.AppliedEnd, h.DurableEnd, h.AckedEnd = 0, 0, 0
-	h.RunsKnown, h.MoreEnds = false, false
+	h.RunsKnown, h.MoreEnds, h.listedToken = false, false, 0
 	h.Bump()
 	for _, s := range h.Slots {
 		if s.Phase != Recorded {
