Start nothing on a worker that may have more ends than it lists

Callers saw (by reading and a test, not on a deployment): a job stands still for as long as start orders to its worker get lost on the way, if more than 500 runs ended there.

Cause: an order without an answer holds acknowledgements back until it has timed out and an exchange has voided it, which takes about a second. Placements went on meanwhile, so that there was always a younger order without an answer, and the full list stayed full.

Change: takes, and with it placements, holds and the last check before a start order, leaves a worker out while its newest list is full. The orders under way settle within their timeout, the list is acknowledged and shrinks, and starts go on. What the planner believes to be free there was too little anyway until then.

Test: TestNothingStartsOnAWorkerThatMayHaveMoreEnds, 1,200 ends and a lost start order every 100 ms: before, the job isn't done after 3 s (state 2); now it is.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -271,8 +271,8 @@
 }
 
 // takes reports whether the worker is listed in its newest incarnation, in contact, not
-// draining, of the service and with the label of the step, and has no runs of unknown
-// needs, and whether its data centre isn't being evacuated.
+// draining, of the service and with the label of the step, and has no further runs or ends
+// that the planner doesn't know, and whether its data centre isn't being evacuated.
 func (p *Planner) takes(h *hosts.Host, service string, step *sched.Step) bool {
 	return h.Listed && h.EntryCurrent() && h.AllKnown() && h.Failures == 0 && !h.Draining &&
 		h.Service == service && (step.Label == "" || slices.Contains(h.Labels, step.Label)) && !p.Evacuated(h.DataCentre)
--- a/pkg/cell/end_list_test.go
+++ b/pkg/cell/end_list_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -197,6 +198,46 @@
 	}
 }
 
+// Guards against a full list that stays full for as long as start orders don't reach the worker: each one holds acknowledgements
+// back, and further ones follow. A job must not stand still for 3 s.
+func TestNothingStartsOnAWorkerThatMayHaveMoreEnds(t *testing.T) {
+	i := is.New(t)
+	w := newEndingWorker(t)
+	w.submit(job("many", tinyTasks(manyTasks)))
+	w.commit()
+	w.carryOut(nil)
+	w.endAll(sched.EndDone)
+	const (
+		tick        = 20 * time.Millisecond
+		ticksPerJob = 5
+		answerLimit = 900 * time.Millisecond
+		standstill  = 3 * time.Second
+	)
+	type unanswered struct {
+		call cell.StartCall
+		at   time.Time
+	}
+	var calls []unanswered
+	for n := range int(standstill / tick) {
+		if n%ticksPerJob == 0 {
+			w.submit(job(fmt.Sprint(n), tinyTasks(1)))
+		}
+		w.pass(tick)
+		for _, s := range w.starts() {
+			calls = append(calls, unanswered{s, w.now})
+		}
+		for len(calls) > 0 && w.now.Sub(calls[0].at) >= answerLimit {
+			w.start(calls[0].call, errLost)
+			calls = calls[1:]
+		}
+		if n > ticksPerJob { // the first orders without an answer precede the first list
+			w.answer()
+		}
+		w.commit()
+	}
+	i.Equal(w.state("many"), sched.JobCompleted)
+}
+
 // Guards against a worker that takes no tasks for long without a log line, a figure or an explanation that tells why.
 func TestAWorkerWhoseRunsAreNotKnownIsReported(t *testing.T) {
 	i := is.New(t)
--- a/pkg/hosts/host.go
+++ b/pkg/hosts/host.go
@@ -181,8 +181,8 @@
 	h.listedToken, h.MoreEnds = max(h.listedToken, token), more
 }
 
-// AllKnown reports whether the planner knows all runs on the worker and what they need.
-func (h *Host) AllKnown() bool { return h.RunsKnown && h.Strays == 0 }
+// AllKnown reports whether the planner knows all runs and ends on the worker.
+func (h *Host) AllKnown() bool { return h.RunsKnown && !h.MoreEnds && h.Strays == 0 }
 
 // Answered notes an answer of the worker. The answer of a new life counts only once the
 // runs of the earlier one are settled.
