--- a/pkg/cell/unknown.go
+++ b/pkg/cell/unknown.go
@@ -29,18 +29,13 @@
 		return
 	}
 	h.UnknownLogged = true
-	unsure, ordered := 0, 0
+	phases := map[hosts.Phase]int{}
 	for _, s := range h.Slots {
-		switch s.Phase {
-		case hosts.Unsure:
-			unsure++
-		case hosts.Ordered:
-			ordered++
-		}
+		phases[s.Phase]++
 	}
 	p.options.Log.Warn("workerRunsUnknown", zap.String("worker", string(h.ID)), zap.Duration("for", now.Sub(h.UnknownSince)),
 		zap.Bool("runsListed", h.RunsKnown), zap.Bool("moreEnds", h.MoreEnds), zap.Int("strays", h.Strays),
-		zap.Int("unsure", unsure), zap.Int("ordered", ordered), zap.Int64("appliedEnd", h.AppliedEnd),
+		zap.Int("unsure", phases[hosts.Unsure]), zap.Int("ordered", phases[hosts.Ordered]), zap.Int64("appliedEnd", h.AppliedEnd),
 		zap.Int64("durableEnd", h.DurableEnd), zap.Int64("acknowledgedEnd", h.AckedEnd))
 }
 
