--- a/internal/emu/site/end_list_test.go
+++ b/internal/emu/site/end_list_test.go
@@ -1,6 +1,11 @@
 package site_test
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,3 +95,37 @@
 		})
 	}
 }
+
+// submitPoints submits jobs with so many small tasks that hundreds of them end on each of
+// three workers within a second, for as long as faults happen.
+func (t *trial) submitPoints(c context.Context, loops *sync.WaitGroup) {
+	const points, pointTime, pause = 1800, 3 * time.Second, 5 * time.Second
+	end := time.Now().Add(faultTime)
+	for n := 1; time.Now().Before(end) && c.Err() == nil; n++ {
+		j := sched.Job{ID: sched.JobID(fmt.Sprintf("%016x", n)), Queue: t.queue, Payload: "payload", Steps: []sched.Step{
+			{Tasks: points, Needs: sched.Resources{Processors: 10, Memory: 10 << 20}, Estimate: pointTime},
+		}}
+		t.world.Jobs.Add(book.JobTruth{Job: j, MeanRunTimes: []time.Duration{pointTime}})
+		loops.Go(func() { t.caller.SubmitAndPoll(c, j) })
+		time.Sleep(pause)
+	}
+}
+
+// Guards against ends that are lost, counted twice or never followed, and against workers that stay unusable, where more runs end
+// than a worker lists while instances, the store and workers fail.
+func TestSiteWithManyEndsUnderFaults(t *testing.T) {
+	first, last := seeds(2)
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newSizedTrial(seed, 3, 3, 1)
+				x.random = rand.New(rand.NewPCG(seed, 11))
+				x.alongside = x.submitPoints
+				if seed%2 == 0 {
+					x.useAgents()
+				}
+				x.check(t, x.plan())
+			})
+		})
+	}
+}
--- a/internal/emu/site/site_test.go
+++ b/internal/emu/site/site_test.go
@@ -76,6 +76,8 @@
 	queue sched.Queue
 	// crashShare is the share of jobs with tasks that crash their workers.
 	crashShare float64
+	// alongside submits jobs beside the random ones while faults happen. It may be nil.
+	alongside func(c context.Context, loops *sync.WaitGroup)
 }
 
 func newTrial(seed uint64) *trial {
@@ -183,6 +185,9 @@
 	c, stop, loops := t.begin()
 	time.Sleep(3 * time.Second)
 	loops.Go(func() { t.submit(c, loops) })
+	if t.alongside != nil {
+		loops.Go(func() { t.alongside(c, loops) })
+	}
 	began := time.Now()
 	active := 0
 	for _, f := range plan {
