--- a/internal/emu/site/end_list_test.go
+++ b/internal/emu/site/end_list_test.go
@@ -25,21 +25,22 @@
 		first, second     = sched.JobID("5c0e7a21d94b36f8"), sched.JobID("5c0e7a21d94b36f9")
 		settleTime        = 8 * time.Second
 	)
+	killAll := func(x *trial, _ sched.InstanceID) {
+		for n := range x.instances {
+			x.site.Kill(instance(n))
+		}
+		time.Sleep(3 * time.Second)
+		for n := range x.instances {
+			x.startIfDown(instance(n))
+		}
+	}
 	rows := []struct {
 		name string
 		// fault keeps the planner from its workers while the tasks end.
 		fault  func(x *trial, planner sched.InstanceID)
 		agents bool
 	}{
-		{"all instances are killed", func(x *trial, _ sched.InstanceID) {
-			for n := range x.instances {
-				x.site.Kill(instance(n))
-			}
-			time.Sleep(3 * time.Second)
-			for n := range x.instances {
-				x.startIfDown(instance(n))
-			}
-		}, false},
+		{"all instances are killed", killAll, false},
 		{"the planner is killed", func(x *trial, planner sched.InstanceID) {
 			time.Sleep(1200 * time.Millisecond)
 			x.site.Kill(planner)
@@ -49,15 +50,7 @@
 			time.Sleep(3 * time.Second)
 			x.world.Thaw(planner)
 		}, false},
-		{"all instances are killed, orders of agents", func(x *trial, _ sched.InstanceID) {
-			for n := range x.instances {
-				x.site.Kill(instance(n))
-			}
-			time.Sleep(3 * time.Second)
-			for n := range x.instances {
-				x.startIfDown(instance(n))
-			}
-		}, true},
+		{"all instances are killed, orders of agents", killAll, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/pkg/cell/end_list_test.go
+++ b/pkg/cell/end_list_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/parsleybarrow/parsleybarrow/pkg/cell"
+	"github.com/parsleybarrow/parsleybarrow/pkg/jobs"
 	"github.com/parsleybarrow/parsleybarrow/pkg/sched"
 )
 
@@ -58,6 +59,14 @@
 	}
 }
 
+// startMany starts a job with manyTasks. The start orders are answered with the error.
+func (w *endingWorker) startMany(err error) {
+	w.submit(job("many", tinyTasks(manyTasks)))
+	w.commit()
+	w.carryOut(err)
+	w.commit()
+}
+
 // endAll ends all runs.
 func (w *endingWorker) endAll(how sched.RunEnd) {
 	for _, s := range w.running {
@@ -108,21 +117,15 @@
 	return s
 }
 
-// replacePlanner begins a new term with what is recorded.
-func (w *endingWorker) replacePlanner() {
-	w.succeed(w.restore(), 2)
+// replacePlanner begins the given term with the restored jobs.
+func (w *endingWorker) replacePlanner(term sched.Offset, restored []*jobs.Job) {
+	w.succeed(restored, term)
 	w.planner.Listed(w.now, worker(1))
 }
 
 // Guards against a worker that stays unusable for good, with all that ended there, since more runs ended unseen than it lists at
 // a time: the rest is listed only after an acknowledgement, which waited for the runs that the rest would have settled.
 func TestAWorkerWithMoreEndsThanItListsIsUsedAgain(t *testing.T) {
-	start := func(w *endingWorker, err error) {
-		w.submit(job("many", tinyTasks(manyTasks)))
-		w.commit()
-		w.carryOut(err)
-		w.commit()
-	}
 	tables := []struct {
 		name string
 		// begin lets more runs end than the worker lists. The planner hasn't seen any of the ends.
@@ -131,46 +134,44 @@
 		completes bool
 	}{
 		{"the planner is replaced", func(w *endingWorker) {
-			start(w, nil)
+			w.startMany(nil)
 			w.endAll(sched.EndDone)
-			w.replacePlanner()
+			w.replacePlanner(2, w.restore())
 		}, true},
 		{"the planner is replaced twice", func(w *endingWorker) {
-			start(w, nil)
+			w.startMany(nil)
 			w.endAll(sched.EndDone)
-			w.replacePlanner()
+			w.replacePlanner(2, w.restore())
 			w.exchangeFor(60 * time.Millisecond)
-			w.succeed(w.restore(), 3)
-			w.planner.Listed(w.now, worker(1))
+			w.replacePlanner(3, w.restore())
 		}, true},
 		{"the answers to the start orders are lost", func(w *endingWorker) {
-			start(w, errLost)
+			w.startMany(errLost)
 			w.endAll(sched.EndDone)
 		}, true},
 		{"another incarnation carries out the start orders", func(w *endingWorker) {
 			w.life = 2
-			start(w, errLost)
+			w.startMany(errLost)
 			w.endAll(sched.EndDone)
 		}, true},
 		{"the planner is replaced and the runs of another incarnation have ended", func(w *endingWorker) {
 			w.life = 2
-			start(w, errLost)
+			w.startMany(errLost)
 			w.endAll(sched.EndDone)
-			w.replacePlanner()
+			w.replacePlanner(2, w.restore())
 		}, true},
 		{"the planner doesn't know the runs", func(w *endingWorker) {
-			start(w, nil)
+			w.startMany(nil)
 			w.endAll(sched.EndDone)
-			w.succeed(nil, 2)
-			w.planner.Listed(w.now, worker(1))
+			w.replacePlanner(2, nil)
 		}, false},
 		{"the lease ends while there is no planner", func(w *endingWorker) {
-			start(w, nil)
+			w.startMany(nil)
 			w.endAll(sched.EndLeaseExpired)
-			w.replacePlanner()
+			w.replacePlanner(2, w.restore())
 		}, false},
 		{"the lease ends while the worker can't be reached", func(w *endingWorker) {
-			start(w, nil)
+			w.startMany(nil)
 			for until := w.now.Add(10 * time.Second); w.now.Before(until); w.commit() {
 				w.pass(100 * time.Millisecond)
 				if len(w.effects.Leases) > 0 {
@@ -212,9 +213,7 @@
 func TestNothingStartsOnAWorkerThatMayHaveMoreEnds(t *testing.T) {
 	i := is.New(t)
 	w := newEndingWorker(t)
-	w.submit(job("many", tinyTasks(manyTasks)))
-	w.commit()
-	w.carryOut(nil)
+	w.startMany(nil)
 	w.endAll(sched.EndDone)
 	const (
 		tick        = 20 * time.Millisecond
@@ -287,10 +286,7 @@
 func TestAFullListIsAcknowledgedOnceNoStartOrderMayBeCarriedOut(t *testing.T) {
 	i := is.New(t)
 	w := newEndingWorker(t)
-	w.submit(job("many", tinyTasks(manyTasks)))
-	w.commit()
-	w.carryOut(nil)
-	w.commit()
+	w.startMany(nil)
 	w.submit(job("lost", step()))
 	w.pass(100 * time.Millisecond)
 	w.commit()
@@ -315,12 +311,9 @@
 func TestAFullListWaitsForTheStore(t *testing.T) {
 	i := is.New(t)
 	w := newEndingWorker(t)
-	w.submit(job("many", tinyTasks(manyTasks)))
-	w.commit()
-	w.carryOut(nil)
-	w.commit()
+	w.startMany(nil)
 	w.endAll(sched.EndDone)
-	w.replacePlanner()
+	w.replacePlanner(2, w.restore())
 	for range 150 { // 3 s, in which no batch becomes durable
 		w.pass(20 * time.Millisecond)
 		w.answer()
