--- a/internal/emu/site/end_list_test.go
+++ b/internal/emu/site/end_list_test.go
@@ -104,19 +104,68 @@
 	}
 }
 
+// plannerKills returns a plan that kills or pauses the planner of the first cell again and
+// again, at random times and for random times.
+func (t *trial) plannerKills() []fault {
+	var plan []fault
+	for at := time.Second; at < faultTime; at += time.Duration(3000+t.random.IntN(3000)) * time.Millisecond {
+		paused, away := t.random.IntN(2) == 0, time.Duration(500+t.random.IntN(2500))*time.Millisecond
+		var planner sched.InstanceID
+		plan = append(plan,
+			fault{at, fmt.Sprint("take the planner away, paused ", paused), func(t *trial) {
+				switch planner = t.site.Planner(0); {
+				case planner == "":
+				case paused:
+					t.world.Freeze(planner)
+				default:
+					t.site.Kill(planner)
+				}
+			}, 1},
+			fault{at + away, "bring it back", func(t *trial) {
+				switch {
+				case planner == "":
+				case paused:
+					t.world.Thaw(planner)
+				default:
+					t.site.Start(planner)
+				}
+			}, -1})
+	}
+	return plan
+}
+
+// manyEnds returns a trial in which more runs end than a worker lists, with agents or without.
+func manyEnds(seed uint64) *trial {
+	x := newSizedTrial(seed, 3, 3, 1)
+	x.random = rand.New(rand.NewPCG(seed, 11))
+	x.alongside = x.submitPoints
+	if seed%2 == 0 {
+		x.useAgents()
+	}
+	return x
+}
+
 // Guards against ends that are lost, counted twice or never followed, and against workers that stay unusable, where more runs end
-// than a worker lists while instances, the store and workers fail.
+// than a worker lists while planners are killed and paused.
+func TestManyEndsAreFollowedByTheNextPlanner(t *testing.T) {
+	first, last := seeds(2)
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := manyEnds(seed)
+				x.check(t, x.plannerKills())
+			})
+		})
+	}
+}
+
+// Guards against the same under all faults of the site.
 func TestSiteWithManyEndsUnderFaults(t *testing.T) {
 	first, last := seeds(2)
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				x := newSizedTrial(seed, 3, 3, 1)
-				x.random = rand.New(rand.NewPCG(seed, 11))
-				x.alongside = x.submitPoints
-				if seed%2 == 0 {
-					x.useAgents()
-				}
+				x := manyEnds(seed)
 				x.check(t, x.plan())
 			})
 		})
--- a/pkg/cell/why.go
+++ b/pkg/cell/why.go
@@ -31,9 +31,10 @@
 // first one that applies counts.
 type obstacles struct {
 	// unknown workers answer and may have further runs or ends, unusable ones are not in
-	// service for the step for another reason, isolated ones run a suspect of a crash that has to be alone, full ones lack room, suspected ones have room and are
-	// avoided, unadvised ones lack a ticket, and those that are disturbed or slow have
-	// serving tasks that can't bear the filler, or leave it too few processors.
+	// service for the step for another reason, isolated ones run a suspect of a crash that
+	// has to be alone, full ones lack room, suspected ones have room and are avoided,
+	// unadvised ones lack a ticket, and those that are disturbed or slow have serving
+	// tasks that can't bear the filler, or leave it too few processors.
 	unknown, unusable, isolated, full, suspected, unadvised, disturbed, slow int
 }
 
